--- /dev/null
+++ b/conf/object.go
@@ -0,0 +1,135 @@
+// Package conf defines the objects that operators publish and checks whole sets of them.
+package conf
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"tanagershunt.example/shunt"
+)
+
+// Kinds of objects.
+const (
+	KindDomain  Kind = "failuredomain"
+	KindService Kind = "service"
+	KindVersion Kind = "version"
+	KindRoute   Kind = "route"
+	KindMove    Kind = "move"
+)
+
+// States of services and failure domains.
+const (
+	ServiceOpen    = "open"
+	ServiceClosing = "closing"
+	DomainIn       = "in"
+	DomainOut      = "out"
+)
+
+// Limits and defaults of objects.
+const (
+	MaxExposure        = 0.05             // largest share of a move before its verdict
+	DefaultMinRequests = 300              // requests to the new version before a step
+	DefaultHold        = 10 * time.Minute // time for which the old version stays ready after completion
+	DefaultMinObserve  = time.Minute      // shortest time at maxShare before a verdict
+	DefaultTimeout     = 10 * time.Second // timeout of a route
+	SpreadBound        = 10 * time.Second // time within which a change is in force everywhere
+)
+
+type (
+	// Kind names a kind of object.
+	Kind string
+
+	// Key identifies an object. Its text form is kind/name.
+	Key struct {
+		Kind Kind
+		Name string
+	}
+
+	// Object is a named object as published. Spec holds one of *Domain, *Service, *Version, *Route, *Move.
+	Object struct {
+		Kind Kind
+		Name string
+		Spec any
+	}
+
+	// Domain is the spec of a failure domain.
+	Domain struct {
+		Region   string `json:"region"`
+		State    string `json:"state,omitempty"`
+		Override bool   `json:"override,omitempty"` // take out even the last domain that can bear a service
+	}
+
+	// Service is the spec of a service.
+	Service struct {
+		Version string `json:"version"` // version that carries traffic until a move completes
+		State   string `json:"state,omitempty"`
+	}
+
+	// Version is the spec of a version of a service.
+	Version struct {
+		Service string `json:"service"`
+	}
+
+	// Route is the spec of a route.
+	Route struct {
+		Service    string   `json:"service"`
+		Prefix     string   `json:"prefix"`
+		Methods    []string `json:"methods,omitempty"` // empty means all
+		Repeatable bool     `json:"repeatable"`
+		Class      string   `json:"class,omitempty"`
+		Timeout    Duration `json:"timeout,omitempty"`
+	}
+
+	// Move is the spec of a move of a service's traffic between two versions.
+	Move struct {
+		Service     string    `json:"service"`
+		From        string    `json:"from"`
+		To          string    `json:"to"`
+		Deadline    time.Time `json:"deadline"`
+		MaxShare    float64   `json:"maxShare,omitempty"`
+		MinRequests int       `json:"minRequests,omitempty"`
+		Hold        Duration  `json:"hold,omitempty"`
+		MinObserve  Duration  `json:"minObserve,omitempty"`
+	}
+
+	// Duration is a time.Duration that is written as text in JSON, as in "1m30s".
+	Duration time.Duration
+)
+
+// Key returns the object's key.
+func (o Object) Key() Key { return Key{Kind: o.Kind, Name: o.Name} }
+
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Contract returns what a caller may rely on for the route's requests.
+func (r *Route) Contract() shunt.Contract {
+	c := shunt.Contract{Repeatable: r.Repeatable, Class: shunt.ClassNormal, Timeout: time.Duration(r.Timeout)}
+	switch r.Class {
+	case "urgent":
+		c.Class = shunt.ClassUrgent
+	case "background":
+		c.Class = shunt.ClassBackground
+	}
+	if c.Timeout == 0 {
+		c.Timeout = DefaultTimeout
+	}
+	return c
+}
+
+// MarshalJSON writes the duration as text.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// UnmarshalJSON reads the duration from text.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("duration %s is not a string", data)
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("duration %q is not valid", text)
+	}
+	*d = Duration(v)
+	return nil
+}
--- /dev/null
+++ b/conf/problem.go
@@ -0,0 +1,12 @@
+package conf
+
+import "fmt"
+
+// Problem is one fault of a set of objects.
+type Problem struct {
+	Object string `json:"object"` // key text
+	Field  string `json:"field"`
+	Text   string `json:"text"`
+}
+
+func (p Problem) String() string { return fmt.Sprintf("%s: %s: %s", p.Object, p.Field, p.Text) }
--- /dev/null
+++ b/member.go
@@ -0,0 +1,75 @@
+package shunt
+
+import "time"
+
+// Statuses of a member, in the order in which they override one another at equal incarnation and sequence.
+const (
+	StatusAlive Status = iota
+	StatusSuspect
+	StatusLeaving
+	StatusDead
+)
+
+type (
+	// Status is the state of a member as its failure domain sees it.
+	Status uint8
+
+	// Member is one node and the backend server beside it. It is a message and an entry of the membership table.
+	Member struct {
+		Control     string // address of the control listener, ip:port; identifies the member
+		Calls       string // address of the calls listener, ip:port
+		Domain      string // failure domain
+		Region      string
+		Incarnation uint64 // start time of the process in nanoseconds since the epoch
+		Sequence    uint64 // raised by the member with each change of its entry
+		Status      Status
+		Service     string // service of the backend server, empty when none has announced itself
+		Version     string // version of the backend server
+		Slots       int    // concurrent requests that the backend server announced
+		Ready       bool   // whether the backend server takes new work
+		ReadySince  time.Time
+	}
+
+	// Directory gives read access to the membership table.
+	Directory interface {
+		// Servers returns the live members whose backend server of this service and version is ready.
+		// An empty version means every version. The slice must not be modified.
+		Servers(service, version string) []Member
+		// Holders returns up to n live members of a failure domain that hold a role, best first,
+		// by rendezvous hashing. An empty domain means the whole fleet.
+		Holders(role, domain string, n int) []Member
+		// Lookup returns the member with the given control address.
+		Lookup(control string) (Member, bool)
+		// Domains returns the names of all failure domains with a known member, sorted.
+		Domains() []string
+		// Self returns the member that this process is.
+		Self() Member
+	}
+)
+
+func (s Status) String() string {
+	switch s {
+	case StatusAlive:
+		return "alive"
+	case StatusSuspect:
+		return "suspect"
+	case StatusLeaving:
+		return "leaving"
+	case StatusDead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Newer reports whether m overrides other in the membership table: by higher incarnation, then
+// sequence, then worse status.
+func (m Member) Newer(other Member) bool {
+	if m.Incarnation != other.Incarnation {
+		return m.Incarnation > other.Incarnation
+	}
+	if m.Sequence != other.Sequence {
+		return m.Sequence > other.Sequence
+	}
+	return m.Status > other.Status
+}
--- /dev/null
+++ b/state/record.go
@@ -0,0 +1,147 @@
+// Package state reduces the records of the config stream to immutable snapshots of the configuration.
+package state
+
+import (
+	"encoding/json"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+)
+
+// Schema is the newest record schema that this program understands.
+const Schema = 1
+
+// Kinds of records in the config stream.
+const (
+	KindPublish  = "publish"
+	KindStep     = "step"
+	KindComplete = "complete"
+	KindHalt     = "halt"
+)
+
+// Verdicts of the reduction on a record.
+const (
+	VerdictApplied   Verdict = "applied"   // publish, step, complete or halt took effect
+	VerdictRejected  Verdict = "rejected"  // publish: the resulting set is invalid
+	VerdictConflict  Verdict = "conflict"  // publish: a base version differs
+	VerdictRepeated  Verdict = "repeated"  // publish: the identifier was seen before
+	VerdictIgnored   Verdict = "ignored"   // step, complete or halt that is not valid now
+	VerdictMalformed Verdict = "malformed" // not a record
+)
+
+// Phases of a move.
+const (
+	PhasePending   Phase = "pending"   // published, no step yet
+	PhaseRunning   Phase = "running"   // at least one step
+	PhaseCompleted Phase = "completed" // all traffic on the new version; may still be taken back in the hold period
+	PhaseTakenBack Phase = "takenback" // final
+)
+
+type (
+	// Verdict is what the reduction did with a record.
+	Verdict string
+
+	// Phase is the phase of a move.
+	Phase string
+
+	// Record is the envelope of every record in the config stream, as JSON.
+	Record struct {
+		Schema int             `json:"schema"`
+		Kind   string          `json:"kind"`
+		ID     string          `json:"id"`
+		At     time.Time       `json:"at"` // writer's clock
+		Node   string          `json:"node"`
+		Body   json.RawMessage `json:"body"`
+	}
+
+	// Publish is the body of a publish record.
+	Publish struct {
+		Operator string                  `json:"operator,omitempty"`
+		Base     map[string]shunt.Offset `json:"base"` // by key text: offset of the last change, 0 for absent
+		Set      []conf.Object           `json:"set,omitempty"`
+		Delete   []string                `json:"delete,omitempty"` // key texts
+	}
+
+	// Step is the body of a step record.
+	Step struct {
+		Move     string       `json:"move"`
+		Version  shunt.Offset `json:"version"` // offset of the move's publish record
+		Number   int          `json:"number"`  // 1 for the first
+		Share    float64      `json:"share"`
+		Evidence string       `json:"evidence,omitempty"`
+	}
+
+	// Complete is the body of a complete record.
+	Complete struct {
+		Move        string       `json:"move"`
+		Version     shunt.Offset `json:"version"`
+		Evidence    string       `json:"evidence,omitempty"`
+		Unconfirmed []string     `json:"unconfirmed,omitempty"` // nodes that had not confirmed the last step
+	}
+
+	// Halt is the body of a halt record.
+	Halt struct {
+		Move     string       `json:"move"`
+		Version  shunt.Offset `json:"version"`
+		Reason   string       `json:"reason"`
+		Evidence string       `json:"evidence,omitempty"`
+	}
+
+	// Outcome is what the reduction says of one record.
+	Outcome struct {
+		Verdict  Verdict        `json:"verdict"`
+		Offset   shunt.Offset   `json:"offset"` // of the record, or of the first record with the identifier
+		ID       string         `json:"id,omitempty"`
+		Problems []conf.Problem `json:"problems,omitempty"` // with VerdictRejected
+		Conflict []Conflict     `json:"conflict,omitempty"` // with VerdictConflict
+		Reason   string         `json:"reason,omitempty"`   // with VerdictIgnored and VerdictMalformed
+	}
+
+	// Conflict names an object that changed since the publisher read it.
+	Conflict struct {
+		Key     string       `json:"key"`
+		Base    shunt.Offset `json:"base"`
+		Current shunt.Offset `json:"current"`
+	}
+
+	// MoveStatus is the state of one published move.
+	MoveStatus struct {
+		Name        string       `json:"name"`
+		Version     shunt.Offset `json:"version"`
+		Spec        conf.Move    `json:"spec"`
+		Published   time.Time    `json:"published"`
+		Phase       Phase        `json:"phase"`
+		Steps       []StepTaken  `json:"steps,omitempty"`
+		CompletedAt time.Time    `json:"completedAt,omitzero"`
+		EndedAt     time.Time    `json:"endedAt,omitzero"` // of takenback
+		Reason      string       `json:"reason,omitempty"`
+		Evidence    string       `json:"evidence,omitempty"`
+		Unconfirmed []string     `json:"unconfirmed,omitempty"`
+	}
+
+	// StepTaken is a step that took effect.
+	StepTaken struct {
+		Number   int          `json:"number"`
+		Share    float64      `json:"share"`
+		At       time.Time    `json:"at"`
+		Offset   shunt.Offset `json:"offset"`
+		Evidence string       `json:"evidence,omitempty"`
+	}
+)
+
+// Open reports whether the move can still take steps.
+func (m *MoveStatus) Open() bool { return m.Phase == PhasePending || m.Phase == PhaseRunning }
+
+// Share returns the share of traffic of the new version at a time, as far as the log tells: the last
+// step's share until the deadline, 0 from the deadline on without a completion, 1 after completion.
+func (m *MoveStatus) Share(now time.Time) float64 {
+	switch {
+	case m.Phase == PhaseCompleted:
+		return 1
+	case m.Phase != PhaseRunning, !now.Before(m.Spec.Deadline):
+		return 0
+	default:
+		return m.Steps[len(m.Steps)-1].Share
+	}
+}
