--- a/conf/object.go
+++ b/conf/object.go
@@ -133,3 +133,12 @@
 	*d = Duration(v)
 	return nil
 }
+
+// Ladder returns the shares of the new version in the order in which a move may take them.
+func (m *Move) Ladder() []float64 {
+	limit := m.MaxShare
+	if limit == 0 {
+		limit = MaxExposure
+	}
+	return []float64{limit / 5, limit, 0.25, 0.5, 1}
+}
--- /dev/null
+++ b/oper/main.go
@@ -0,0 +1,4 @@
+// Command is a placeholder until its package is wired.
+package main
+
+func main() {}
--- a/state/record.go
+++ b/state/record.go
@@ -35,7 +35,7 @@
 	PhasePending   Phase = "pending"   // published, no step yet
 	PhaseRunning   Phase = "running"   // at least one step
 	PhaseCompleted Phase = "completed" // all traffic on the new version; may still be taken back in the hold period
-	PhaseTakenBack Phase = "takenback" // final
+	PhaseRolledBack Phase = "rolledback" // final
 )
 
 type (
@@ -114,7 +114,7 @@
 		Phase       Phase        `json:"phase"`
 		Steps       []StepTaken  `json:"steps,omitempty"`
 		CompletedAt time.Time    `json:"completedAt,omitzero"`
-		EndedAt     time.Time    `json:"endedAt,omitzero"` // of takenback
+		EndedAt     time.Time    `json:"endedAt,omitzero"` // of rolledback
 		Reason      string       `json:"reason,omitempty"`
 		Evidence    string       `json:"evidence,omitempty"`
 		Unconfirmed []string     `json:"unconfirmed,omitempty"`
