--- a/state/record.go
+++ b/state/record.go
@@ -32,9 +32,9 @@
 
 // Phases of a move.
 const (
-	PhasePending   Phase = "pending"   // published, no step yet
-	PhaseRunning   Phase = "running"   // at least one step
-	PhaseCompleted Phase = "completed" // all traffic on the new version; may still be taken back in the hold period
+	PhasePending    Phase = "pending"    // published, no step yet
+	PhaseRunning    Phase = "running"    // at least one step
+	PhaseCompleted  Phase = "completed"  // all traffic on the new version; may still be taken back in the hold period
 	PhaseRolledBack Phase = "rolledback" // final
 )
 
