--- a/logd/main.go
+++ b/logd/main.go
@@ -1,4 +1,100 @@
-// Command is a placeholder until its package is wired.
+// Command tslogd is a stand-in for the platform's log service, for development and tests. It keeps its
+// streams in memory.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/integrii/flaggy"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"tanagershunt.example/shunt/logkv"
+	"tanagershunt.example/shunt/mlog"
+	"tanagershunt.example/shunt/params"
+)
+
+const (
+	exitUsage         = 2
+	readHeaderTimeout = 10 * time.Second
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var path string
+	p := flaggy.NewParser("tslogd")
+	p.Description = "stand-in for the platform's log service"
+	p.String(&path, "s", "settings", "path of the JSON settings")
+	check := flaggy.NewSubcommand("check-settings")
+	check.Description = "check the settings and exit"
+	p.AttachSubcommand(check, 1)
+	if err := p.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	settings, err := params.LoadLogService(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if check.Used {
+		return 0
+	}
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(settings),
+		fx.Provide(func() *log.Logger { return logkv.New(os.Stderr, "info") }),
+		fx.Provide(func(s params.LogService) *mlog.Log {
+			return mlog.New(clockwork.NewRealClock(), mlog.Limits{
+				Retention:   time.Duration(s.Retention),
+				AppendRate:  s.AppendRate,
+				RecordLimit: s.RecordLimit,
+			})
+		}),
+		fx.Invoke(serve),
+	)
+	if err := app.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	app.Run()
+	return 0
+}
+
+func serve(lc fx.Lifecycle, settings params.LogService, store *mlog.Log, logger *log.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	srv := &http.Server{
+		Handler:           mlog.Handler(store),
+		ReadHeaderTimeout: readHeaderTimeout,
+		// A stop ends waiting reads at once.
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			var lc net.ListenConfig
+			l, err := lc.Listen(ctx, "tcp", settings.Listen)
+			if err != nil {
+				return err
+			}
+			logger.WithField("address", l.Addr().String()).Info("log service listens")
+			go func() {
+				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					logger.WithError(err).Error("log service failed")
+				}
+			}()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			cancel()
+			return srv.Shutdown(ctx)
+		},
+	})
+}
