--- a/conf/object.go
+++ b/conf/object.go
@@ -34,6 +34,7 @@
 	DefaultMinObserve  = time.Minute      // shortest time at maxShare before a verdict
 	DefaultTimeout     = 10 * time.Second // timeout of a route
 	SpreadBound        = 10 * time.Second // time within which a change is in force everywhere
+	MaxPrefix          = 1024             // bytes of a route's prefix; bounds the work of matching long paths
 )
 
 type (
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,199 @@
+package state
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+)
+
+const (
+	// chunkOverhead bounds the JSON form of a chunk without its data.
+	chunkOverhead = 512
+	// dumpLimit bounds the memory that a faulty snapshot can take when it is decompressed.
+	dumpLimit = 256 << 20
+)
+
+type (
+	// Chunk is a part of an encoded state, as JSON a record of the snapshots stream.
+	Chunk struct {
+		Schema int          `json:"schema"`
+		Offset shunt.Offset `json:"offset"` // of the state
+		Index  int          `json:"index"`  // from 0
+		Total  int          `json:"total"`
+		Hash   string       `json:"hash"` // of the state
+		Sum    string       `json:"sum"`  // SHA-256 of the data of all chunks; tells apart the encodings of several writers
+		Data   []byte       `json:"data"`
+	}
+
+	// dump is a state as written to a snapshot. Lists are sorted, so that equal states have equal dumps.
+	dump struct {
+		Objects  []dumpObject         `json:"objects"`
+		Moves    []*MoveStatus        `json:"moves"`
+		Services map[string]traffic   `json:"services"`
+		DomainIn map[string]time.Time `json:"domainIn"`
+		Outcomes []Outcome            `json:"outcomes"` // in log order
+		First    uint64               `json:"first"`    // number of the first outcome
+	}
+
+	dumpObject struct {
+		Version shunt.Offset `json:"version"`
+		Object  conf.Object  `json:"object"`
+	}
+
+	chunkGroup struct {
+		offset shunt.Offset
+		total  int
+		hash   string
+		sum    string
+	}
+)
+
+// ErrIncomplete means that chunks are missing from a snapshot or belong to several.
+var ErrIncomplete = errors.New("snapshot is incomplete")
+
+// Encode writes the state as chunks whose JSON forms have at most limit bytes each.
+func (s *State) Encode(limit int) ([]Chunk, error) {
+	size := (limit - chunkOverhead) / 4 * 3 // base64
+	if size <= 0 {
+		return nil, fmt.Errorf("chunk limit %d is not above %d", limit, chunkOverhead)
+	}
+	data, err := s.dump().pack()
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	sum := checksum(data)
+	parts := slices.Collect(slices.Chunk(data, size))
+	chunks := make([]Chunk, len(parts))
+	for i, part := range parts {
+		chunks[i] = Chunk{
+			Schema: Schema, Offset: s.offset, Index: i, Total: len(parts),
+			Hash: s.hash.String(), Sum: sum, Data: part,
+		}
+	}
+	return chunks, nil
+}
+
+// Decode reads a state from all chunks of one snapshot, in any order. It returns ErrIncomplete, wrapped, when
+// chunks are missing, and a *SchemaError when a newer program wrote them.
+func Decode(chunks []Chunk) (*State, error) {
+	if len(chunks) == 0 {
+		return nil, ErrIncomplete
+	}
+	c := chunks[0]
+	if c.Schema > Schema {
+		return nil, &SchemaError{Offset: c.Offset, Schema: c.Schema}
+	}
+	data, err := join(chunks)
+	if err != nil {
+		return nil, err
+	}
+	d, err := unpack(data)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot at offset %d: %w", c.Offset, err)
+	}
+	s := d.restore(c.Offset)
+	if got := s.hash.String(); got != c.Hash {
+		return nil, fmt.Errorf("snapshot at offset %d: hash is %q instead of %q", c.Offset, got, c.Hash)
+	}
+	return s, nil
+}
+
+// Newest returns the chunks of the newest complete and undamaged snapshot in a list of chunks of several, which
+// may be repeated and in any order. Snapshots that only a newer program can read are passed over.
+func Newest(chunks []Chunk) ([]Chunk, bool) {
+	groups := make(map[chunkGroup]map[int]Chunk)
+	for _, c := range chunks {
+		g := c.group()
+		if groups[g] == nil {
+			groups[g] = make(map[int]Chunk)
+		}
+		if _, ok := groups[g][c.Index]; !ok && c.Schema <= Schema {
+			groups[g][c.Index] = c
+		}
+	}
+	var best []Chunk
+	for g, parts := range groups {
+		if best != nil && cmp.Or(cmp.Compare(best[0].Offset, g.offset), cmp.Compare(best[0].Sum, g.sum)) > 0 {
+			continue
+		}
+		list := make([]Chunk, 0, len(parts))
+		for _, c := range parts {
+			list = append(list, c)
+		}
+		if _, err := join(list); err == nil {
+			slices.SortFunc(list, byIndex)
+			best = list
+		}
+	}
+	return best, best != nil
+}
+
+func (c Chunk) group() chunkGroup { return chunkGroup{c.Offset, c.Total, c.Hash, c.Sum} }
+
+func byIndex(a, b Chunk) int { return cmp.Compare(a.Index, b.Index) }
+
+// join returns the data of a complete snapshot.
+func join(chunks []Chunk) ([]byte, error) {
+	sorted := slices.SortedFunc(slices.Values(chunks), byIndex)
+	var data []byte
+	for i, c := range sorted {
+		if c.Index != i || c.group() != sorted[0].group() {
+			return nil, fmt.Errorf(
+				"%w: chunk %d of offset %d where chunk %d is expected",
+				ErrIncomplete,
+				c.Index,
+				c.Offset,
+				i,
+			)
+		}
+		data = append(data, c.Data...)
+	}
+	if len(sorted) == 0 || len(sorted) != sorted[0].Total {
+		return nil, fmt.Errorf("%w: %d chunks", ErrIncomplete, len(sorted))
+	}
+	if sum := checksum(data); sum != sorted[0].Sum {
+		return nil, fmt.Errorf("snapshot at offset %d: data has checksum %q instead of %q",
+			sorted[0].Offset, sum, sorted[0].Sum)
+	}
+	return data, nil
+}
+
+func (d *dump) pack() ([]byte, error) {
+	var buf bytes.Buffer
+	z := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(z).Encode(d); err != nil {
+		return nil, err
+	}
+	if err := z.Close(); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+func unpack(data []byte) (*dump, error) {
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	var d dump
+	if err := json.NewDecoder(io.LimitReader(z, dumpLimit)).Decode(&d); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+func checksum(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,130 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+	"tanagershunt.example/shunt/pmap"
+)
+
+type (
+	// State is the configuration at one offset of the config stream. It is immutable; its zero value is the
+	// empty configuration at offset 0. Objects and move statuses that it returns must not be modified.
+	State struct {
+		offset   shunt.Offset
+		hash     Hash
+		set      conf.Set
+		versions pmap.Map[conf.Key, shunt.Offset]
+		moves    pmap.Map[string, *MoveStatus]
+		services pmap.Map[string, traffic]
+		domainIn pmap.Map[string, time.Time]
+		seen     seen
+		routes   index
+	}
+
+	// traffic says which version of a service is active and which move was published last.
+	traffic struct {
+		Active  string       `json:"active"`
+		Move    string       `json:"move,omitempty"`
+		Version shunt.Offset `json:"version,omitempty"` // of the move
+	}
+)
+
+// Offset returns the offset of the last record reduced.
+func (s *State) Offset() shunt.Offset { return s.offset }
+
+// Hash returns the hash of the state, which covers the offset. It detects divergence, not tampering.
+func (s *State) Hash() Hash { return s.hash }
+
+// Set returns all objects.
+func (s *State) Set() conf.Set { return s.set }
+
+// Object returns an object and the offset of its last change.
+func (s *State) Object(key conf.Key) (conf.Object, shunt.Offset, bool) {
+	o, ok := s.set.Get(key)
+	version, _ := s.versions.Get(key)
+	return o, version, ok
+}
+
+// Objects returns the objects of a kind, sorted by name.
+func (s *State) Objects(kind conf.Kind) []conf.Object { return s.set.Objects(kind) }
+
+// Version returns the offset of an object's last change, 0 for an absent object: the base of a publish.
+func (s *State) Version(key conf.Key) shunt.Offset {
+	v, _ := s.versions.Get(key)
+	return v
+}
+
+// ActiveVersion returns the version that carries a service's traffic outside of an open move, empty for an
+// unknown service.
+func (s *State) ActiveVersion(service string) string {
+	t, _ := s.services.Get(service)
+	return t.Active
+}
+
+// Move returns the status of a move.
+func (s *State) Move(name string) (*MoveStatus, bool) { return s.moves.Get(name) }
+
+// Moves returns the statuses of all moves, sorted by name.
+func (s *State) Moves() []*MoveStatus {
+	byName := maps.Collect(s.moves.All())
+	list := make([]*MoveStatus, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		list = append(list, byName[name])
+	}
+	return list
+}
+
+// LastMove returns the status of the move published last for a service, unless it has been deleted.
+func (s *State) LastMove(service string) (*MoveStatus, bool) {
+	t, _ := s.services.Get(service)
+	m, ok := s.moves.Get(t.Move)
+	if !ok || m.Version != t.Version {
+		return nil, false
+	}
+	return m, true
+}
+
+// OpenMove returns the status of a service's open move.
+func (s *State) OpenMove(service string) (*MoveStatus, bool) {
+	m, ok := s.LastMove(service)
+	if !ok || !m.Open() {
+		return nil, false
+	}
+	return m, true
+}
+
+// DomainOut reports whether operators have taken a failure domain out of service. A failure domain that has no
+// object is in service.
+func (s *State) DomainOut(name string) bool {
+	d, ok := s.set.Domain(name)
+	return ok && d.State == conf.DomainOut
+}
+
+// DomainInSince returns the time of the record that brought a failure domain back into service, and the zero
+// time if it was never out.
+func (s *State) DomainInSince(name string) time.Time {
+	at, _ := s.domainIn.Get(name)
+	return at
+}
+
+// Closing reports whether a service takes no new requests.
+func (s *State) Closing(service string) bool {
+	spec, ok := s.set.Service(service)
+	return ok && spec.State == conf.ServiceClosing
+}
+
+// Outcome returns the outcome of the first publish with an identifier. Of a rejected publish it names at most
+// the first 100 problems.
+func (s *State) Outcome(id string) (Outcome, bool) { return s.seen.outcomes.Get(id) }
+
+// HeldUntil returns the time until which a completed move may be halted, and the zero time for other phases.
+func (m *MoveStatus) HeldUntil() time.Time {
+	if m.Phase != PhaseCompleted {
+		return time.Time{}
+	}
+	return m.CompletedAt.Add(m.Spec.HoldTime())
+}
