--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	@for m in node oper logd demo bench; do go build -o $(BIN)/ ./$$m/... || exit 1; done
+	@for m in node oper logd demo bench; do go build -o $$(case $$m in oper) echo $(BIN)/tsctl;; *) echo $(BIN)/ts$$m;; esac) ./$$m || exit 1; done
 
 run:
 	@go run ./demo
--- /dev/null
+++ b/opapi/client.go
@@ -0,0 +1,140 @@
+package opapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"tanagershunt.example/shunt"
+)
+
+const maxResponse = 256 << 20
+
+type (
+	// Client calls the operators' listener of one node. Its zero value has no address.
+	Client struct {
+		base string
+		http http.Client
+	}
+
+	// StatusError is an answer with an unexpected HTTP status.
+	StatusError struct {
+		Status int
+		Text   string
+	}
+)
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Text) }
+
+// NewClient returns a client of the operators' listener at an address, ip:port. Timeout bounds each call.
+func NewClient(address string, timeout time.Duration) *Client {
+	return &Client{base: "http://" + address, http: http.Client{Timeout: timeout}}
+}
+
+// Publish publishes objects. An error means that the answer did not arrive: the result is unknown unless
+// the connection was never made.
+func (c *Client) Publish(ctx context.Context, r PublishRequest) (PublishResponse, error) {
+	return post[PublishResponse](ctx, c, "/v1/publish", r)
+}
+
+// Validate checks a publish against the node's current configuration without publishing it.
+func (c *Client) Validate(ctx context.Context, r PublishRequest) (PublishResponse, error) {
+	return post[PublishResponse](ctx, c, "/v1/validate", r)
+}
+
+// Outcome asks what became of a publish with the given identifier.
+func (c *Client) Outcome(ctx context.Context, id string) (PublishResponse, error) {
+	return get[PublishResponse](ctx, c, "/v1/outcome/"+url.PathEscape(id))
+}
+
+// Objects returns the objects in force at the node.
+func (c *Client) Objects(ctx context.Context) (Objects, error) {
+	return get[Objects](ctx, c, "/v1/objects")
+}
+
+// InForce asks on how many nodes an offset is in force.
+func (c *Client) InForce(ctx context.Context, offset shunt.Offset) (InForce, error) {
+	return get[InForce](ctx, c, "/v1/inforce/"+strconv.FormatUint(uint64(offset), 10))
+}
+
+// Moves returns all moves that the node knows.
+func (c *Client) Moves(ctx context.Context) (Moves, error) { return get[Moves](ctx, c, "/v1/moves") }
+
+// Status returns the node's view of the fleet.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return get[Status](ctx, c, "/v1/status")
+}
+
+// History returns the newest records of the config stream that the node knows, oldest first.
+func (c *Client) History(ctx context.Context) (History, error) {
+	return get[History](ctx, c, "/v1/history")
+}
+
+// Raw returns the body of a GET request, for the dump, the metrics and the report.
+func (c *Client) Raw(ctx context.Context, path string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, path, nil)
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var answer T
+	body, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return answer, err
+	}
+	return answer, json.Unmarshal(body, &answer)
+}
+
+func post[T any](ctx context.Context, c *Client, path string, request any) (T, error) {
+	var answer T
+	data, err := json.Marshal(request)
+	if err != nil {
+		return answer, err
+	}
+	body, err := c.do(ctx, http.MethodPost, path, data)
+	if err != nil {
+		return answer, err
+	}
+	return answer, json.Unmarshal(body, &answer)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, data []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	if data != nil {
+		req.Header.Set("Content-Type", "application/json")
+		req.GetBody = nil
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return body, nil
+	}
+	var answer Error
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Error == "" {
+		return nil, &StatusError{Status: resp.StatusCode, Text: string(body)}
+	}
+	return nil, &StatusError{Status: resp.StatusCode, Text: answer.Error}
+}
+
+// NotSent reports whether an error of a call proves that the node never received it.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
