--- a/oper/publish.go
+++ b/oper/publish.go
@@ -65,7 +65,9 @@
 	}
 	current, err := c.client.Objects(ctx)
 	if err != nil {
-		return c.fail(err)
+		return c.printPublish(opapi.PublishResponse{
+			Result: opapi.ResultNotPublished, ID: request.ID, Reason: err.Error(),
+		})
 	}
 	versions := make(map[string]opapi.VersionedObject, len(current.Objects))
 	for _, o := range current.Objects {
