--- /dev/null
+++ b/admit/learner.go
@@ -0,0 +1,261 @@
+package admit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tanagershunt.example/shunt"
+)
+
+const (
+	growBelow = 2 // times the warm figure
+	cutAbove  = 3
+	coldAbove = 4
+	coldRun   = 5 // consecutive responses above coldAbove that mean a cold server
+
+	// slowMemory is the number of responses over which the ordinary share of slow ones is averaged.
+	slowMemory = 1024
+	// minSamples is the least number of responses whose median is compared with the warm figure.
+	minSamples = 8
+	// maxSamples bounds the responses kept of one window; the newest replace the oldest.
+	maxSamples = 64
+
+	// stallTime is how long latency must withhold growth before half the limit is tried.
+	stallTime = 30 * time.Second
+	// riseEvery and rise bound the upward drift of the warm figure to 25% in 10 s.
+	riseEvery = 10 * time.Second
+	rise      = 1.25
+)
+
+type (
+	// learner holds the limit and what it was learned from.
+	//
+	// The warm figure is a slow average of the medians of windows in full use. It falls at once by a quarter
+	// of the difference when a window is faster, which happens while a server warms up. It rises only on
+	// evidence that the limiter's own concurrency isn't the cause: a window at limit 1, or, when latency has
+	// withheld growth for stallTime, a trial window at half the limit in which latency did not fall. It then
+	// rises by at most 25% in 10 s. So a general rise of latency, for instance of a service further down,
+	// locks the limit neither at 1 nor at its present value: a rise by the factor k at limit 1 is learned
+	// after 10 s * log(k/2)/log(1.25). Latency that the limit itself causes never raises the figure, so the
+	// limit doesn't creep beyond what the server bears.
+	//
+	// Medians are compared, because single slow routes would otherwise dominate. Where about half of the
+	// responses belong to a route several times slower than the other half, the median is unstable and the
+	// limit stays lower than necessary.
+	learner struct {
+		limit     int
+		warm      float64 // nanoseconds, 0 when unknown
+		raised    time.Time
+		slowShare float64 // share of ordinary responses above coldAbove
+		slowRun   int
+		slowest   uint64 // newest sequence in the run
+		cutAt     uint64 // newest sequence at the last cut: older requests say nothing of the new limit
+
+		since    time.Time // begin of the window
+		samples  []float64
+		count    int
+		full     int
+		failed   int
+		stalled  time.Time // since when latency withholds growth, zero when it does not
+		trial    int       // limit to return to after a trial, 0 when none runs
+		trialRef float64   // median before the trial
+	}
+
+	observation struct {
+		at       time.Time
+		sequence uint64
+		newest   uint64
+		full     bool
+		sample   shunt.Sample
+		slots    int
+		window   time.Duration
+	}
+)
+
+func newLearner(now time.Time) learner { return learner{limit: 1, since: now} }
+
+func (e *learner) observe(o observation) {
+	if o.sample.Shed {
+		e.shed(o)
+		return
+	}
+	latency := float64(o.sample.Latency)
+	if e.cold(o, latency) {
+		e.cut(o, 1)
+		return
+	}
+	if o.sequence <= e.cutAt {
+		return
+	}
+	e.record(o, latency)
+	if e.limit > 1 && e.count >= minSamples && e.count%minSamples == 0 && e.overloaded() {
+		e.cut(o, e.limit/2)
+		return
+	}
+	if e.count >= max(minSamples, 2*e.limit) && o.at.Sub(e.since) >= o.window {
+		e.finish(o)
+	}
+}
+
+// shed halves the limit, once for all requests that were running at the time of the cut.
+func (e *learner) shed(o observation) {
+	if o.sequence > e.cutAt {
+		e.cut(o, e.limit/2)
+	}
+}
+
+// cold counts consecutive slow responses. A fast response ends the run only when its request started after
+// all slow ones of the run: otherwise requests that started before the server became cold would hide it.
+func (e *learner) cold(o observation, latency float64) bool {
+	if e.warm == 0 {
+		return false
+	}
+	slow := latency > coldAbove*e.warm
+	if !slow {
+		e.slowShare -= e.slowShare / slowMemory
+		if o.sequence > e.slowest {
+			e.slowRun = 0
+		}
+		return false
+	}
+	if e.limit > 1 {
+		e.slowShare += (1 - e.slowShare) / slowMemory
+	}
+	e.slowRun++
+	e.slowest = max(e.slowest, o.sequence)
+	if e.slowRun < e.coldRun() {
+		return false
+	}
+	e.slowRun = 0
+	return e.limit > 1
+}
+
+// coldRun returns the run of slow responses that means a cold server: 5, or as many as happen by chance
+// once in a million when slow responses are ordinary, at most 32.
+func (e *learner) coldRun() int {
+	if e.slowShare <= 0 {
+		return coldRun
+	}
+	n := math.Ceil(math.Log(1e-6) / math.Log(min(e.slowShare, 0.99)))
+	return int(min(max(n, coldRun), 32))
+}
+
+func (e *learner) record(o observation, latency float64) {
+	e.count++
+	if o.full {
+		e.full++
+	}
+	if o.sample.Failed {
+		e.failed++
+		if latency <= e.warm { // a fast failure says nothing about latency
+			return
+		}
+	}
+	if len(e.samples) < maxSamples {
+		e.samples = append(e.samples, latency)
+		return
+	}
+	e.samples[e.count%maxSamples] = latency
+}
+
+func (e *learner) overloaded() bool {
+	return e.failed*2 >= e.count || e.warm > 0 && e.median() > cutAbove*e.warm
+}
+
+// finish ends a window: it learns from it, and grows the limit when the window allows it.
+func (e *learner) finish(o observation) {
+	m, inUse := e.median(), e.full*2 >= e.count
+	failing := e.failed*8 > e.count
+	defer e.begin(o.at)
+	if m == 0 || failing {
+		return
+	}
+	if e.trial > 0 {
+		e.endTrial(o, m)
+		return
+	}
+	if inUse || e.limit == 1 {
+		e.learn(o.at, m)
+	}
+	switch {
+	case m > growBelow*e.warm:
+		e.stall(o, m)
+	case inUse:
+		e.stalled = time.Time{}
+		e.limit = min(e.limit+1, o.slots)
+	default:
+		e.stalled = time.Time{}
+	}
+}
+
+func (e *learner) learn(now time.Time, m float64) {
+	switch {
+	case e.warm == 0:
+		e.warm, e.raised = m, now
+	case m < e.warm:
+		e.warm = blend(e.warm, m, 0.25)
+	case e.limit == 1:
+		e.raise(now, m)
+	}
+}
+
+func (e *learner) raise(now time.Time, m float64) {
+	if now.Sub(e.raised) < riseEvery {
+		return
+	}
+	e.warm, e.raised = min(m, e.warm*rise), now
+}
+
+// stall begins a trial window at half the limit when latency has withheld growth for stallTime.
+func (e *learner) stall(o observation, m float64) {
+	switch {
+	case e.limit == 1:
+	case e.stalled.IsZero():
+		e.stalled = o.at
+	case o.at.Sub(e.stalled) >= stallTime:
+		e.trial, e.trialRef = e.limit, m
+		e.limit /= 2
+		e.cutAt = o.newest
+	}
+}
+
+// endTrial returns to the limit before the trial. The warm figure rises when latency did not fall by a
+// quarter although concurrency was halved.
+func (e *learner) endTrial(o observation, m float64) {
+	e.limit = min(e.trial, o.slots)
+	e.trial, e.stalled = 0, time.Time{}
+	if m > 0.75*e.trialRef {
+		e.raise(o.at, m)
+		e.stalled = o.at.Add(riseEvery - stallTime) // the next trial may follow after riseEvery
+	}
+}
+
+func (e *learner) cut(o observation, limit int) {
+	e.limit = max(limit, 1)
+	e.cutAt = o.newest
+	e.trial, e.stalled = 0, time.Time{}
+	e.begin(o.at)
+}
+
+func (e *learner) begin(now time.Time) {
+	e.since = now
+	e.samples = e.samples[:0]
+	e.count, e.full, e.failed = 0, 0, 0
+}
+
+func (e *learner) median() float64 {
+	if len(e.samples) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(e.samples))
+	return sorted[len(sorted)/2]
+}
+
+// blend moves an average towards a value; an average of 0 is unknown and takes the value.
+func blend(average, value, share float64) float64 {
+	if average == 0 {
+		return value
+	}
+	return average + (value-average)*share
+}
--- /dev/null
+++ b/claim/message.go
@@ -0,0 +1,108 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"tanagershunt.example/shunt"
+)
+
+type (
+	// TakeArgs asks a partition's holder for a verdict. Ask identifies the claim: asking again with the same
+	// Ask is safe and gives the same verdict.
+	TakeArgs struct {
+		Schema    int
+		Partition int
+		Ask       string
+		Key       string
+		BodyHash  string
+		RequestID string
+		Wait      time.Duration // how long the asker waits
+	}
+
+	// TakeReply is the verdict. With Again there is none, and another holder may be asked.
+	TakeReply struct {
+		Answer shunt.ClaimAnswer
+		Again  bool
+	}
+
+	// SettleArgs records outcomes of claims of one partition.
+	SettleArgs struct {
+		Schema    int
+		Partition int
+		Settled   []Settled
+		Wait      time.Duration
+	}
+
+	// Settled is the outcome of the claim named by Ask.
+	Settled struct {
+		Ask       string
+		Key       string
+		RequestID string
+		Outcome   shunt.Outcome
+		Status    int
+	}
+
+	// SettleReply says nothing beyond the absence of an error: the outcomes are in the log.
+	SettleReply struct{}
+
+	// Transport reaches the holders on other nodes by their control address.
+	Transport interface {
+		Take(ctx context.Context, control string, args TakeArgs) (TakeReply, error)
+		Settle(ctx context.Context, control string, args SettleArgs) error
+	}
+
+	// Service exposes a Holder over net/rpc.
+	Service struct {
+		holder *Holder
+	}
+)
+
+const (
+	// maxWait bounds the wait of a call from another node.
+	maxWait = 30 * time.Second
+	// maxField bounds each text of a claim in bytes, so that no record exceeds the log's limit.
+	maxField = 4 << 10
+)
+
+// NewService returns the net/rpc service of a holder.
+func NewService(h *Holder) *Service { return &Service{holder: h} }
+
+// Take is the net/rpc method Claim.Take.
+func (s *Service) Take(args TakeArgs, reply *TakeReply) error {
+	ctx, cancel := waitContext(args.Wait)
+	defer cancel()
+	answer, err := s.holder.Take(ctx, args)
+	if errors.Is(err, ErrClosed) || errors.Is(err, ErrBusy) {
+		reply.Again = true
+		return nil
+	}
+	reply.Answer = answer
+	return err
+}
+
+// Settle is the net/rpc method Claim.Settle.
+func (s *Service) Settle(args SettleArgs, _ *SettleReply) error {
+	ctx, cancel := waitContext(args.Wait)
+	defer cancel()
+	return s.holder.Settle(ctx, args)
+}
+
+func waitContext(wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), min(max(wait, 0), maxWait))
+}
+
+func (a TakeArgs) check() error {
+	switch {
+	case a.Schema > Schema:
+		return fmt.Errorf("claim schema %d is newer than %d", a.Schema, Schema)
+	case a.Key == "" || a.Ask == "":
+		return errors.New("claim without key or identifier")
+	case len(a.Key) > maxField || len(a.BodyHash) > maxField || len(a.RequestID) > maxField || len(a.Ask) > maxField:
+		return fmt.Errorf("claim with a text above %d bytes", maxField)
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/claim/record.go
@@ -0,0 +1,58 @@
+// Package claim recognises callers' repeats of non-repeatable requests by claims in the platform's log.
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagershunt.example/shunt"
+)
+
+const (
+	// Partitions is the number of claim streams. With one append per partition every 100 ms all holders
+	// together make at most 160 appends a second, whatever the number of nodes and requests; two holders of
+	// one partition make twice its 10.
+	Partitions = 16
+	// Schema is the newest record schema that this program understands.
+	Schema = 1
+)
+
+// Kinds of records in a claim stream.
+const (
+	kindClaim  = "claim"
+	kindSettle = "settle"
+)
+
+// record is an entry of a claim stream, as JSON. Ask identifies the claim; a settle record names the claim
+// it belongs to by it.
+type record struct {
+	Schema    int           `json:"schema"`
+	Kind      string        `json:"kind"`
+	Ask       string        `json:"ask"`
+	Key       string        `json:"key"`
+	BodyHash  string        `json:"bodyHash,omitempty"`
+	RequestID string        `json:"requestId"`
+	At        time.Time     `json:"at"` // holder's clock
+	Outcome   shunt.Outcome `json:"outcome,omitempty"`
+	Status    int           `json:"status,omitempty"`
+}
+
+// Partition returns the partition of a key.
+func Partition(key string) int { return int(xxhash.Sum64String(key) % Partitions) }
+
+// Stream returns the name of a partition's stream.
+func Stream(partition int) string { return fmt.Sprintf("claims-%d", partition) }
+
+// Role returns the name of the role of a partition's holder.
+func Role(partition int) string { return fmt.Sprintf("claim-%d", partition) }
+
+func (r record) encode() ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode claim record of key %q: %w", r.Key, err)
+	}
+	return data, nil
+}
