Bound the attempts of a chain of calls

Cause: a retry repeats the whole subtree below it, so counting only retries lets a chain make (allowance + 1) * depth attempts. A failed call did not report the allowance used below its last attempt.

--- a/retry/allow.go
+++ b/retry/allow.go
@@ -35,7 +35,8 @@
 	Allowance struct {
 		left    int
 		used    Used
-		pending int // cost of repeating the last attempt
+		pending int // cost of repeating the last attempt, when it failed
+		below   int // extra attempts below the last attempt, when it failed
 	}
 )
 
@@ -94,11 +95,12 @@
 	a.left = max(a.left-u.Extra, 0)
 }
 
-// Failed records an attempt that did not succeed. An attempt that never reached the other node has used
-// nothing: its subtree is the zero Used.
+// Failed records an attempt that did not succeed. An attempt that ended with OutcomeNotRun has used nothing
+// below it: its subtree is the zero Used, whether or not an answer came.
 func (a *Allowance) Failed(u Used) {
 	a.used = a.used.Add(Used{Attempts: u.Attempts + 1})
 	a.pending = u.Attempts + 1
+	a.below = u.Extra
 }
 
 // Enough reports whether the allowance covers another attempt after a failed one.
@@ -111,9 +113,9 @@
 	}
 	a.left -= a.pending
 	a.used.Extra += a.pending
-	a.pending = 0
+	a.pending, a.below = 0, 0
 	return true
 }
 
 // Used returns what the call has used, for the header Retries-Used of its response.
-func (a *Allowance) Used() Used { return a.used }
+func (a *Allowance) Used() Used { return a.used.Add(Used{Extra: a.below}) }
