Add call counters, their merge and the collector

Cause: verdicts and the final report need counters that survive duplicated, reordered and lost reports.

--- /dev/null
+++ b/count/reduce.go
@@ -0,0 +1,105 @@
+package count
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/apex/log"
+
+	"tanagershunt.example/shunt"
+)
+
+// Checkpoint returns the collector's durable state. Entries up to its offset are no longer needed.
+func (c *Collector) Checkpoint() Checkpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := Checkpoint{
+		Schema: Schema, Domain: c.domain, Offset: c.offset,
+		Base: sortedCells(c.durable.base), Folded: maps.Clone(c.durable.folded),
+		Ended: append([]NodeInfo(nil), c.durable.ended...),
+	}
+	for k, in := range c.durable.live {
+		p.Live = append(p.Live, in.report(k))
+	}
+	return p
+}
+
+// Restore replaces the durable state with a newer checkpoint; an older one is ignored. Recover then reads on
+// from its offset.
+func (c *Collector) Restore(p Checkpoint) error {
+	if p.Schema > Schema || p.Domain != c.domain {
+		return fmt.Errorf("checkpoint of %q with schema %d is not for %q with schema %d",
+			p.Domain, p.Schema, c.domain, Schema)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.Offset <= c.offset {
+		return nil
+	}
+	s := Set{base: make(map[Key]Values), folded: maps.Clone(p.Folded), ended: p.Ended}
+	if s.folded == nil {
+		s.folded = make(map[string]uint64)
+	}
+	for _, cell := range p.Base {
+		s.base[cell.Key] = cell.Values
+	}
+	for _, r := range p.Live {
+		s.Merge(r)
+	}
+	c.durable, c.offset = s, p.Offset
+	return nil
+}
+
+// reduce applies entries of the counts stream in order.
+func (c *Collector) reduce(entries []shunt.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, raw := range entries {
+		c.offset = raw.Offset
+		e, err := Decode(raw.Data)
+		if err != nil {
+			log.WithError(err).WithField("offset", raw.Offset).Error("entry skipped")
+			continue
+		}
+		if e.Domain != c.domain {
+			continue
+		}
+		for _, r := range e.Reports {
+			c.durable.Merge(r)
+		}
+	}
+	for k, r := range c.fresh {
+		if c.durable.covers(r) {
+			delete(c.fresh, k)
+		}
+	}
+}
+
+// covers reports whether merging the report would change nothing.
+func (s *Set) covers(r Report) bool {
+	if r.Incarnation <= s.folded[r.Node] {
+		return true
+	}
+	in := s.live[r.NodeKey]
+	if in == nil || r.Final {
+		return false
+	}
+	probe := incarnation{info: in.info}
+	if probe.hear(&r) {
+		return false
+	}
+	for _, c := range r.Cells {
+		if known := in.cells[c.Key]; Merge(known, c.Values) != known {
+			return false
+		}
+	}
+	return true
+}
+
+// report returns all that is known of an incarnation as one report.
+func (in *incarnation) report(k NodeKey) Report {
+	return Report{
+		NodeKey: k, Domain: in.info.Domain, At: in.info.HeardAt, Rate: in.info.Rate,
+		Last: in.info.Last, EndedAt: in.info.EndedAt, Cells: sortedCells(in.cells),
+	}
+}
--- /dev/null
+++ b/count/value.go
@@ -0,0 +1,138 @@
+// Package count counts calls per incarnation of a node, merges the counters of many nodes and keeps them in
+// the log.
+package count
+
+import (
+	"fmt"
+	"time"
+
+	"tanagershunt.example/shunt"
+)
+
+// Sides of a call.
+const (
+	SideSent Side = iota // counted by the outbound half
+	SideRan              // counted by the inbound half
+)
+
+type (
+	// Side says which half of the proxy counted a call.
+	Side uint8
+
+	// Key identifies a counter.
+	Key struct {
+		Side    Side   `json:"side"`
+		Service string `json:"service"`
+		Route   string `json:"route"`
+		Version string `json:"version"`
+		Domain  string `json:"domain"` // failure domain of the server
+	}
+
+	// Outcomes holds the number of calls by shunt.Outcome.
+	Outcomes [shunt.NumOutcomes]uint64
+
+	// Values are the cumulative values of a counter. Each field only ever grows.
+	Values struct {
+		Outcomes    Outcomes  `json:"outcomes"`
+		Latency     Hist      `json:"latency"`     // of all calls but those not run
+		Warm        Outcomes  `json:"warm"`        // calls to servers past their ramp
+		WarmLatency Hist      `json:"warmLatency"` // of the same
+		LastAt      time.Time `json:"lastAt,omitzero"`
+		LastID      string    `json:"lastId,omitempty"` // request identifier of the last call that ran
+	}
+
+	// Cell is a counter with its values.
+	Cell struct {
+		Key
+		Values
+	}
+
+	// NodeKey identifies an incarnation of a node.
+	NodeKey struct {
+		Node        string `json:"node"` // control address
+		Incarnation uint64 `json:"incarnation"`
+	}
+
+	// Report is what a node tells of its counters: the cumulative values of all cells that changed after the
+	// cursor it was asked for.
+	Report struct {
+		NodeKey
+		Domain string    `json:"domain"`
+		At     time.Time `json:"at"`
+		Cursor uint64    `json:"cursor"`
+		Rate   float64   `json:"rate"` // highest recent rate of calls that entered at the node, per second
+		Cells  []Cell    `json:"cells,omitempty"`
+		Last   bool      `json:"last,omitempty"` // the node stopped gracefully and counts no more
+		// EndedAt is set in the reports that a collector writes of an incarnation known to have ended.
+		EndedAt time.Time `json:"endedAt,omitzero"`
+		Final   bool      `json:"final,omitempty"` // fold the incarnation into the base; needs EndedAt or Last
+	}
+)
+
+func (s Side) String() string {
+	switch s {
+	case SideSent:
+		return "sent"
+	case SideRan:
+		return "ran"
+	default:
+		return "invalid"
+	}
+}
+
+func (k Key) String() string {
+	return fmt.Sprintf("%s %s/%s/%s/%s", k.Side, k.Service, k.Route, k.Version, k.Domain)
+}
+
+// Total returns the number of calls with any outcome.
+func (o Outcomes) Total() uint64 {
+	var n uint64
+	for _, c := range o {
+		n += c
+	}
+	return n
+}
+
+// Ran returns the number of calls that ran or may have run.
+func (o Outcomes) Ran() uint64 { return o.Total() - o[shunt.OutcomeNotRun] }
+
+// Failures returns the number of calls that failed or whose outcome is unknown.
+func (o Outcomes) Failures() uint64 { return o[shunt.OutcomeFailed] + o[shunt.OutcomeUnknown] }
+
+// Merge returns the field-wise maximum of two values of the same cell of the same incarnation.
+// It is commutative, associative and idempotent.
+func Merge(a, b Values) Values {
+	merge := func(x, y uint64) uint64 { return max(x, y) }
+	return combine(a, b, merge)
+}
+
+// Add returns the sum of the values of two different incarnations or cells.
+func Add(a, b Values) Values {
+	return combine(a, b, func(x, y uint64) uint64 { return x + y })
+}
+
+// Sub returns the growth from an earlier value of the same cell to a. A field that is below the earlier
+// one, as after a change of the collector, counts as no growth.
+func Sub(a, earlier Values) Values {
+	return combine(a, earlier, func(x, y uint64) uint64 {
+		if x < y {
+			return 0
+		}
+		return x - y
+	})
+}
+
+func combine(a, b Values, f func(x, y uint64) uint64) Values {
+	for i := range a.Outcomes {
+		a.Outcomes[i] = f(a.Outcomes[i], b.Outcomes[i])
+		a.Warm[i] = f(a.Warm[i], b.Warm[i])
+	}
+	for i := range a.Latency {
+		a.Latency[i] = f(a.Latency[i], b.Latency[i])
+		a.WarmLatency[i] = f(a.WarmLatency[i], b.WarmLatency[i])
+	}
+	if b.LastAt.After(a.LastAt) || (b.LastAt.Equal(a.LastAt) && b.LastID > a.LastID) {
+		a.LastAt, a.LastID = b.LastAt, b.LastID
+	}
+	return a
+}
