--- /dev/null
+++ b/canary/verdict.go
@@ -0,0 +1,162 @@
+package canary
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"tanagershunt.example/shunt/count"
+)
+
+// Kinds of verdicts.
+const (
+	Undecided Kind = iota
+	GoodEnough
+	Bad
+)
+
+// Names of the two tests.
+const (
+	TestFailures = "failures"
+	TestSlow     = "slow calls"
+)
+
+// doubtful is the part of the limit, in logarithms, from which a step waits although the version is not bad.
+const doubtful = 0.75
+
+type (
+	// Kind is the kind of a verdict.
+	Kind uint8
+
+	// Verdict is what the evidence says of the new version at one time. Good enough means good enough for the
+	// next step.
+	Verdict struct {
+		Kind     Kind
+		Missing  []string // with Undecided: what is missing
+		Requests uint64   // to the new version's warm servers in this step
+		Figures  []Figure // strongest evidence first
+	}
+
+	// Figure is the evidence of one test on one route.
+	Figure struct {
+		Route       string
+		Test        string
+		OldRequests uint64
+		OldEvents   uint64
+		NewRequests uint64
+		NewEvents   uint64
+		Log10       float64       // logarithm of the evidence against the new version
+		Limit10     float64       // from which it is bad
+		Threshold   time.Duration // with TestSlow: latency above which a call is slow
+	}
+)
+
+func (k Kind) String() string {
+	switch k {
+	case Undecided:
+		return "undecided"
+	case GoodEnough:
+		return "good enough"
+	case Bad:
+		return "bad"
+	default:
+		return "invalid"
+	}
+}
+
+// Verdict returns the verdict at a time. Bad is final only if the caller acts on it: evidence may fall again.
+func (t *Test) Verdict(now time.Time) Verdict {
+	v := Verdict{Requests: t.step.requests, Figures: t.figures()}
+	for i := range v.Figures {
+		f := &v.Figures[i]
+		switch {
+		case f.Log10 >= f.Limit10:
+			v.Kind = Bad
+		case f.Log10 >= doubtful*f.Limit10:
+			v.Missing = append(v.Missing, "clear evidence on "+f.String())
+		}
+	}
+	if v.Kind == Bad {
+		v.Missing = nil
+		return v
+	}
+	if t.step.requests < t.cfg.MinRequests {
+		v.Missing = append(v.Missing, fmt.Sprintf("%d of %d requests to the new version in this step",
+			t.cfg.MinRequests-t.step.requests, t.cfg.MinRequests))
+	}
+	if seen := now.Sub(t.step.begun); seen < t.step.minObserve {
+		v.Missing = append(v.Missing, fmt.Sprintf("%s of %s of observation",
+			(t.step.minObserve-seen).Round(time.Second), t.step.minObserve))
+	}
+	if len(v.Missing) == 0 {
+		v.Kind = GoodEnough
+	}
+	return v
+}
+
+// Text returns the verdict and its evidence in one line.
+func (v *Verdict) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s after %d requests in this step", v.Kind, v.Requests)
+	if len(v.Missing) > 0 {
+		fmt.Fprintf(&b, "; missing: %s", strings.Join(v.Missing, ", "))
+	}
+	for i := range v.Figures {
+		if f := &v.Figures[i]; i == 0 || f.Log10 >= f.Limit10 {
+			fmt.Fprintf(&b, "; %s", f)
+		}
+	}
+	if names := v.uncovered(); len(names) > 0 {
+		const most = 5
+		if more := len(names) - most; more > 0 {
+			names = append(names[:most], fmt.Sprintf("%d more", more))
+		}
+		fmt.Fprintf(&b, "; no request to the new version on: %s", strings.Join(names, ", "))
+	}
+	return b.String()
+}
+
+func (f *Figure) String() string {
+	what := f.Test
+	if f.Test == TestSlow {
+		what = fmt.Sprintf("%s above %s", f.Test, f.Threshold)
+	}
+	return fmt.Sprintf("route %s, %s: new %d of %d, old %d of %d, evidence 10^%.1f, limit 10^%.1f",
+		f.Route, what, f.NewEvents, f.NewRequests, f.OldEvents, f.OldRequests, f.Log10, f.Limit10)
+}
+
+func (v *Verdict) uncovered() []string {
+	var names []string
+	for i := range v.Figures {
+		if f := &v.Figures[i]; f.Test == TestFailures && f.NewRequests == 0 {
+			names = append(names, f.Route)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (t *Test) figures() []Figure {
+	list := make([]Figure, 0, 2*len(t.routes))
+	for i, r := range t.routes {
+		limit := t.limit(i) / math.Ln10
+		f := Figure{
+			Route: r.name, Test: TestFailures,
+			OldRequests: r.old.Requests, OldEvents: r.old.Failures,
+			NewRequests: r.new.Requests, NewEvents: r.new.Failures,
+			Log10: r.failures.log() / math.Ln10, Limit10: limit,
+		}
+		list = append(list, f)
+		if bucket, known := r.threshold(); known {
+			f.Test, f.Threshold = TestSlow, count.Bound(bucket)
+			f.OldEvents, f.NewEvents = r.oldSlow, r.newSlow
+			f.Log10 = r.slow.log() / math.Ln10
+			list = append(list, f)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Figure) int { return cmp.Compare(b.Log10-b.Limit10, a.Log10-a.Limit10) })
+	return list
+}
