--- /dev/null
+++ b/member/list.go
@@ -0,0 +1,181 @@
+package member
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagershunt.example/shunt"
+)
+
+type (
+	// Cursor is a position in a table's change log. The zero value is before the first change.
+	Cursor struct {
+		Table  uint64
+		Number uint64
+	}
+
+	// Query selects entries for a delta.
+	Query struct {
+		Cursor  Cursor
+		Limit   int               // most entries returned; 0 means all
+		Domain  string            // only entries of this failure domain; empty means all
+		Digests map[string]uint64 // the asker's digests: failure domains with equal digests are left out
+	}
+
+	// Delta is a page of changed entries.
+	Delta struct {
+		Members []shunt.Member
+		Next    Cursor
+		Full    bool // the cursor was unknown: the pages from here on list the whole table
+		More    bool // further entries follow
+	}
+)
+
+// Since returns the entries changed after a cursor, oldest change first. Every entry is listed once, at its
+// last change, so a cursor never becomes too old: only one of another process's table does, and it gets the
+// whole table.
+func (t *Table) Since(q Query) Delta {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	d := Delta{Next: Cursor{Table: t.id, Number: t.number}}
+	from := q.Cursor.Number
+	if q.Cursor.Table != t.id {
+		from, d.Full = 0, true
+	}
+	for e := t.after(from); e != nil; e = e.next {
+		if !t.selected(e, q) {
+			continue
+		}
+		if q.Limit > 0 && len(d.Members) >= q.Limit {
+			d.More = true
+			d.Next.Number = e.number - 1
+			break
+		}
+		d.Members = append(d.Members, e.Member)
+	}
+	return d
+}
+
+// Digests returns a digest of the living entries of each failure domain. Tables with equal digests of a
+// failure domain hold the same entries for it.
+func (t *Table) Digests() map[string]uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	ds := make(map[string]uint64, len(t.digests))
+	for d, v := range t.digests {
+		ds[d] = v
+	}
+	return ds
+}
+
+func (t *Table) selected(e *entry, q Query) bool {
+	if q.Domain != "" && e.Domain != q.Domain {
+		return false
+	}
+	if len(q.Digests) == 0 {
+		return true
+	}
+	have, ok := q.Digests[e.Domain]
+	return !ok || have != t.digests[e.Domain]
+}
+
+// after returns the oldest entry changed after a number. It searches from the newest, because most cursors
+// are a few changes old.
+func (t *Table) after(number uint64) *entry {
+	if number == 0 {
+		return t.oldest
+	}
+	var found *entry
+	for e := t.newest; e != nil && e.number > number; e = e.prev {
+		found = e
+	}
+	return found
+}
+
+// put stores an entry as the newest change.
+func (t *Table) put(m shunt.Member, ch touched) {
+	m.Domain, m.Region = t.word(m.Domain), t.word(m.Region)
+	m.Service, m.Version = t.word(m.Service), t.word(m.Version)
+	e := t.entries[m.Control]
+	if e == nil {
+		e = &entry{}
+	} else {
+		t.remove(e, ch)
+	}
+	e.Member = m
+	if m.Status == shunt.StatusDead {
+		e.diedAt = t.clock.Now()
+	} else {
+		t.digests[m.Domain] ^= digest(m)
+	}
+	t.entries[m.Control] = e
+	t.number++
+	e.number = t.number
+	e.prev, e.next = t.newest, nil
+	if t.newest != nil {
+		t.newest.next = e
+	} else {
+		t.oldest = e
+	}
+	t.newest = e
+	addTo(t.domains, m.Domain, e)
+	if m.Service != "" {
+		addTo(t.services, m.Service, e)
+	}
+	ch.add(m)
+}
+
+func (t *Table) remove(e *entry, ch touched) {
+	ch.add(e.Member)
+	if e.Status != shunt.StatusDead {
+		t.digests[e.Domain] ^= digest(e.Member)
+	}
+	if e.prev != nil {
+		e.prev.next = e.next
+	} else {
+		t.oldest = e.next
+	}
+	if e.next != nil {
+		e.next.prev = e.prev
+	} else {
+		t.newest = e.prev
+	}
+	delete(t.entries, e.Control)
+	removeFrom(t.domains, e.Domain, e.Control)
+	removeFrom(t.services, e.Service, e.Control)
+}
+
+// word returns the stored copy of a string that many entries share, so that each costs no memory of its own.
+func (t *Table) word(s string) string {
+	if w, ok := t.words[s]; ok {
+		return w
+	}
+	t.words[s] = s
+	return s
+}
+
+func addTo(sets map[string]map[string]*entry, name string, e *entry) {
+	if sets[name] == nil {
+		sets[name] = make(map[string]*entry)
+	}
+	sets[name][e.Control] = e
+}
+
+func removeFrom(sets map[string]map[string]*entry, name, control string) {
+	delete(sets[name], control)
+	if len(sets[name]) == 0 {
+		delete(sets, name)
+	}
+}
+
+func digest(m shunt.Member) uint64 {
+	var b [17]byte
+	binary.LittleEndian.PutUint64(b[:], m.Incarnation)
+	binary.LittleEndian.PutUint64(b[8:], m.Sequence)
+	b[16] = byte(m.Status)
+	d := xxhash.New()
+	_, _ = d.WriteString(m.Control)
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
