--- a/member/detector.go
+++ b/member/detector.go
@@ -165,7 +165,7 @@
 	if d.clock.Since(start) > 2*ProbeInterval || ctx.Err() != nil {
 		return // this process was paused during the probe
 	}
-	d.suspect(target, asked)
+	d.suspect(target, asked || len(d.others(target.Control)) == 0)
 }
 
 // suspect marks a member as suspected. Witnessed says that a helper answered and did not reach it either.
