--- a/member/index.go
+++ b/member/index.go
@@ -95,9 +95,12 @@
 	if maps.Equal(set, want) {
 		return
 	}
+	ch := newTouched()
+	for d := range set {
+		ch.domains[d] = struct{}{}
+	}
 	clear(set)
 	maps.Copy(set, want)
-	ch := newTouched()
 	for s := range t.services {
 		ch.services[s] = struct{}{}
 	}
--- a/member/list.go
+++ b/member/list.go
@@ -179,3 +179,10 @@
 	_, _ = d.Write(b[:])
 	return d.Sum64()
 }
+
+// Digest returns the digest of one failure domain.
+func (t *Table) Digest(domain string) uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.digests[domain]
+}
--- /dev/null
+++ b/relay/parent.go
@@ -0,0 +1,190 @@
+package relay
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/member"
+)
+
+const (
+	topReaders = 5
+	// cursorsKept is the number of former parents whose cursors are kept for a return to them.
+	cursorsKept = 8
+)
+
+type (
+	// parents is what a node remembers of the nodes that it fetched from. Hub.mu guards it.
+	parents struct {
+		failed  map[string]failure
+		cursors map[string]*cursors
+		order   []string // addresses in cursors, the oldest first
+	}
+
+	failure struct {
+		count int
+		until time.Time
+	}
+
+	// cursors is the position of a node in another node's lists.
+	cursors struct {
+		members  member.Cursor
+		facts    FactCursor
+		caughtUp bool
+		differ   time.Time // since when the digests of the own failure domain differ
+	}
+)
+
+// roleOf returns the node's role among the live members of its failure domain.
+func (h *Hub) roleOf() Role {
+	domain := h.self.Domain
+	if holds(h.table.Holders(member.RoleReader, domain, member.Readers), h.self.Control) {
+		return RoleReader
+	}
+	if holds(h.relays(), h.self.Control) {
+		return RoleRelay
+	}
+	return RoleLeaf
+}
+
+// relays returns the relays of the own failure domain: the square root of its size gives relays and
+// readers about the same number of children.
+func (h *Hub) relays() []shunt.Member {
+	n := len(h.table.Live(h.self.Domain))
+	return h.table.Holders("relay", h.self.Domain, int(math.Ceil(math.Sqrt(float64(n)))))
+}
+
+// candidates returns the nodes to fetch from, the preferred first.
+func (h *Hub) candidates(role Role) []string {
+	readers := controls(h.table.Holders(member.RoleReader, h.self.Domain, topReaders))
+	active := readers[:min(len(readers), member.Readers)]
+	var list []string
+	if role == RoleLeaf {
+		relays := slices.DeleteFunc(controls(h.relays()), func(c string) bool { return slices.Contains(active, c) })
+		list = append(list, member.Rank(h.self.Control, relays)...)
+	}
+	list = append(list, member.Rank(h.self.Control, active)...)
+	list = append(list, readers[len(active):]...)
+	list = append(list, h.opts.Seeds...)
+	return slices.DeleteFunc(list, func(c string) bool { return c == h.self.Control })
+}
+
+// pickParent returns the first candidate that did not fail lately, or else the one whose pause ends first.
+func (h *Hub) pickParent(role Role) (string, error) {
+	list := h.candidates(role)
+	if len(list) == 0 {
+		return "", errNoParent
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	best := list[0]
+	for _, c := range list {
+		f, ok := h.parents.failed[c]
+		if !ok || !f.until.After(now) {
+			best = c
+			break
+		}
+		if f.until.Before(h.parents.failed[best].until) {
+			best = c
+		}
+	}
+	h.parent = best
+	return best, nil
+}
+
+// avoid keeps a node from being picked for some time.
+func (h *Hub) avoid(control string, pause time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.parents.failed[control]
+	f.count++
+	f.until = h.clock.Now().Add(pause)
+	h.parents.failed[control] = f
+}
+
+// trust forgets former failures of a node.
+func (h *Hub) trust(control string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.parents.failed, control)
+}
+
+func (h *Hub) failures(control string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.parents.failed[control].count
+}
+
+// follow keeps the node in its role and starts the loops of a new one when the role changes.
+func (h *Hub) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		role := h.roleOf()
+		h.mu.Lock()
+		h.role = role
+		if role == RoleReader {
+			h.parent = ""
+		}
+		h.mu.Unlock()
+		roleCtx, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if role == RoleReader {
+				h.read(roleCtx)
+			} else {
+				h.poll(roleCtx)
+			}
+		}()
+		h.untilRoleChanges(ctx, role)
+		cancel()
+		<-done
+	}
+}
+
+func (h *Hub) untilRoleChanges(ctx context.Context, role Role) {
+	for ctx.Err() == nil {
+		changed := h.table.Changed()
+		if h.roleOf() != role {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func newParents() parents {
+	return parents{failed: make(map[string]failure), cursors: make(map[string]*cursors)}
+}
+
+// cursor returns the position in another node's lists.
+func (p *parents) cursor(control string) *cursors {
+	if c, ok := p.cursors[control]; ok {
+		return c
+	}
+	if len(p.order) >= cursorsKept {
+		delete(p.cursors, p.order[0])
+		p.order = p.order[1:]
+	}
+	c := &cursors{}
+	p.cursors[control] = c
+	p.order = append(p.order, control)
+	return c
+}
+
+func controls(ms []shunt.Member) []string {
+	list := make([]string, 0, len(ms))
+	for _, m := range ms {
+		list = append(list, m.Control)
+	}
+	return list
+}
+
+func holds(ms []shunt.Member, control string) bool {
+	return slices.ContainsFunc(ms, func(m shunt.Member) bool { return m.Control == control })
+}
