--- a/canary/process.go
+++ b/canary/process.go
@@ -89,6 +89,13 @@
 	w.add(rate/(1-rate), x, n-x)
 }
 
+// join multiplies the likelihood ratios of another part of the same window into w.
+func (w *window) join(o *window) {
+	for i := range w {
+		w[i] += o[i]
+	}
+}
+
 // add adds the likelihood ratios of x events against y others, with the given odds of an event under the null
 // hypothesis.
 func (w *window) add(null float64, x, y uint64) {
--- a/canary/test.go
+++ b/canary/test.go
@@ -29,6 +29,7 @@
 	soloSlow     = 0.20 // least rate of calls slower than twice the quantile
 	soloMultiple = 3    // multiple of the old version's rate that is tolerated
 	twice        = 2    // buckets that double a latency
+	allRoutes    = "(all)"
 )
 
 type (
@@ -63,6 +64,7 @@
 	Test struct {
 		cfg    Config
 		routes []*route // in order of appearance
+		whole  route    // all routes together, compared route by route
 		step   step
 	}
 
@@ -72,6 +74,14 @@
 		requests   uint64
 	}
 
+	// observed is one window of a route.
+	observed struct {
+		total            Sample // over failure domains
+		failures, slow   window
+		limit            float64 // largest factor the window may contribute
+		oldSlow, newSlow uint64
+	}
+
 	route struct {
 		name     string
 		failures process
@@ -89,7 +99,7 @@
 	cfg.WindowCap = cmp.Or(cfg.WindowCap, DefaultWindowCap)
 	cfg.Tolerance = cmp.Or(cfg.Tolerance, DefaultTolerance)
 	cfg.SlowFactor = cmp.Or(cfg.SlowFactor, DefaultSlowFactor)
-	return &Test{cfg: cfg}
+	return &Test{cfg: cfg, whole: route{name: allRoutes}}
 }
 
 // BeginStep starts the count of requests and time that a step needs. The evidence goes on.
@@ -104,12 +114,26 @@
 	for _, s := range samples {
 		byRoute[s.Route] = append(byRoute[s.Route], s)
 	}
+	var failures, slow window
+	limit := t.cfg.WindowCap
 	for _, s := range samples {
-		if group := byRoute[s.Route]; group != nil {
-			delete(byRoute, s.Route)
-			t.step.requests += t.route(s.Route).observe(at, group, &t.cfg)
+		group := byRoute[s.Route]
+		if group == nil {
+			continue
 		}
-	}
+		delete(byRoute, s.Route)
+		r := t.route(s.Route)
+		o := r.observe(group, &t.cfg)
+		r.failures.update(at, &o.failures, o.limit)
+		r.slow.update(at, &o.slow, o.limit)
+		failures.join(&o.failures)
+		slow.join(&o.slow)
+		limit = min(limit, o.limit)
+		t.whole.tally(&o)
+		t.step.requests += o.total.New.Requests
+	}
+	t.whole.failures.update(at, &failures, limit)
+	t.whole.slow.update(at, &slow, limit)
 }
 
 func (t *Test) route(name string) *route {
@@ -123,48 +147,55 @@
 	return r
 }
 
-// limit returns the logarithm of the evidence from which the i-th route is bad. The configured routes share
-// nine tenths of the false-alarm rate equally; routes that appear beyond them share the rest.
+// limit returns the logarithm of the evidence from which the i-th route is bad. All routes together, i below 0,
+// have half of the false-alarm rate, since most faults are in all of them. The configured routes share nine
+// tenths of the other half equally; routes that appear beyond them share the rest.
 func (t *Test) limit(i int) float64 {
-	share := 0.9 / float64(t.cfg.Routes)
-	if j := float64(i - t.cfg.Routes + 1); j > 0 {
+	share := 1.0
+	switch j := float64(i - t.cfg.Routes + 1); {
+	case i < 0:
+	case j > 0:
 		share = 0.1 / (j * (j + 1))
+	default:
+		share = 0.9 / float64(t.cfg.Routes)
 	}
-	const tests = 2
-	return -math.Log(t.cfg.FalseAlarm * share / tests)
+	const tests, halves = 2, 2
+	return -math.Log(t.cfg.FalseAlarm * share / (tests * halves))
 }
 
-// observe adds a window of one route and returns the requests to the new version's warm servers.
-func (r *route) observe(at time.Time, samples []Sample, cfg *Config) uint64 {
+// observe weighs a window of one route and adds it to the route's totals.
+func (r *route) observe(samples []Sample, cfg *Config) observed {
 	bucket, known := r.threshold()
-	var total Sample
+	o := observed{limit: cfg.WindowCap}
 	for i := range samples {
-		total.Old.add(&samples[i].Old)
-		total.New.add(&samples[i].New)
-		total.Cold.add(&samples[i].Cold)
-	}
-	var failures, slow window
-	limit := cfg.WindowCap
-	if total.Old.Requests*soloRatio < total.New.Requests {
-		limit = soloCap
-		failures.absolute(r.tolerated(r.old.Failures, soloFailures), total.New.Requests, total.New.Failures)
+		o.total.Old.add(&samples[i].Old)
+		o.total.New.add(&samples[i].New)
+		o.total.Cold.add(&samples[i].Cold)
+	}
+	fresh := &o.total.New
+	if o.total.Old.Requests*soloRatio < fresh.Requests {
+		o.limit = soloCap
+		o.failures.absolute(r.tolerated(soloFailures), fresh.Requests, fresh.Failures)
 		if known {
-			slow.absolute(soloSlow, total.New.Requests, total.New.Latency.Above(bucket+twice))
+			o.slow.absolute(soloSlow, fresh.Latency.Total(), fresh.Latency.Above(bucket+twice))
 		}
 	} else {
 		for _, s := range strata(samples) {
-			failures.conditional(s.Old.Requests, s.Old.Failures, s.New.Requests, s.New.Failures, cfg.Tolerance)
+			o.failures.conditional(s.Old.Requests, s.Old.Failures, s.New.Requests, s.New.Failures, cfg.Tolerance)
 			if known {
 				oldSlow, newSlow := s.Old.Latency.Above(bucket), s.New.Latency.Above(bucket)
-				slow.conditional(s.Old.Latency.Total(), oldSlow, s.New.Latency.Total(), newSlow, cfg.SlowFactor)
+				o.slow.conditional(s.Old.Latency.Total(), oldSlow, s.New.Latency.Total(), newSlow, cfg.SlowFactor)
 			}
 		}
 	}
-	failures.absolute(r.tolerated(r.old.Failures, coldFailures), total.Cold.Requests, total.Cold.Failures)
-	r.failures.update(at, &failures, limit)
-	r.slow.update(at, &slow, limit)
-	r.tally(&total, bucket, known)
-	return total.New.Requests
+	if cold := &o.total.Cold; cold.Requests > 0 {
+		o.failures.absolute(r.tolerated(coldFailures), cold.Requests, cold.Failures)
+	}
+	if known {
+		o.oldSlow, o.newSlow = o.total.Old.Latency.Above(bucket), fresh.Latency.Above(bucket)
+	}
+	r.tally(&o)
+	return o
 }
 
 // threshold returns the last bucket of the old version that is not slow. It depends on earlier windows only,
@@ -177,21 +208,19 @@
 }
 
 // tolerated returns the rate of failures that is not held against a version without an old one beside it.
-func (r *route) tolerated(failures uint64, least float64) float64 {
+func (r *route) tolerated(least float64) float64 {
 	if r.old.Requests < minHistory {
 		return max(least, soloFailures*soloMultiple)
 	}
-	return min(0.5, max(least, soloMultiple*upper(r.old.Requests, failures)))
+	return min(0.5, max(least, soloMultiple*upper(r.old.Requests, r.old.Failures)))
 }
 
-func (r *route) tally(total *Sample, bucket int, known bool) {
-	if known {
-		r.oldSlow += total.Old.Latency.Above(bucket)
-		r.newSlow += total.New.Latency.Above(bucket)
-	}
-	r.old.add(&total.Old)
-	r.new.add(&total.New)
-	r.new.add(&Counts{Requests: total.Cold.Requests, Failures: total.Cold.Failures})
+func (r *route) tally(o *observed) {
+	r.oldSlow += o.oldSlow
+	r.newSlow += o.newSlow
+	r.old.add(&o.total.Old)
+	r.new.add(&o.total.New)
+	r.new.add(&Counts{Requests: o.total.Cold.Requests, Failures: o.total.Cold.Failures})
 }
 
 // strata returns the samples that have both versions, and the sum of the others as one. A failure domain with
--- a/canary/verdict.go
+++ b/canary/verdict.go
@@ -48,9 +48,11 @@
 		OldEvents   uint64
 		NewRequests uint64
 		NewEvents   uint64
-		Log10       float64       // logarithm of the evidence against the new version
-		Limit10     float64       // from which it is bad
-		Threshold   time.Duration // with TestSlow: latency above which a call is slow
+		Log10       float64 // logarithm of the evidence against the new version
+		Limit10     float64 // from which it is bad
+		// Threshold is the latency above which a call is slow, with TestSlow. It is 0 for all routes together,
+		// which are compared with each route's own.
+		Threshold time.Duration
 	}
 )
 
@@ -121,7 +123,7 @@
 
 func (f *Figure) String() string {
 	what := f.Test
-	if f.Test == TestSlow {
+	if f.Threshold > 0 {
 		what = fmt.Sprintf("%s above %s", f.Test, f.Threshold)
 	}
 	return fmt.Sprintf("route %s, %s: new %d of %d, old %d of %d, evidence 10^%.1f, limit 10^%.1f",
@@ -131,7 +133,7 @@
 func (v *Verdict) uncovered() []string {
 	var names []string
 	for i := range v.Figures {
-		if f := &v.Figures[i]; f.Test == TestFailures && f.NewRequests == 0 {
+		if f := &v.Figures[i]; f.Test == TestFailures && f.NewRequests == 0 && f.Route != allRoutes {
 			names = append(names, f.Route)
 		}
 	}
@@ -140,23 +142,30 @@
 }
 
 func (t *Test) figures() []Figure {
-	list := make([]Figure, 0, 2*len(t.routes))
+	list := make([]Figure, 0, 2*len(t.routes)+2)
+	list = t.whole.figures(list, t.limit(-1), 0, t.whole.old.Latency.Total() >= minHistory)
 	for i, r := range t.routes {
-		limit := t.limit(i) / math.Ln10
-		f := Figure{
-			Route: r.name, Test: TestFailures,
-			OldRequests: r.old.Requests, OldEvents: r.old.Failures,
-			NewRequests: r.new.Requests, NewEvents: r.new.Failures,
-			Log10: r.failures.log() / math.Ln10, Limit10: limit,
-		}
-		list = append(list, f)
-		if bucket, known := r.threshold(); known {
-			f.Test, f.Threshold = TestSlow, count.Bound(bucket)
-			f.OldEvents, f.NewEvents = r.oldSlow, r.newSlow
-			f.Log10 = r.slow.log() / math.Ln10
-			list = append(list, f)
-		}
+		bucket, known := r.threshold()
+		list = r.figures(list, t.limit(i), count.Bound(bucket), known)
 	}
 	slices.SortStableFunc(list, func(a, b Figure) int { return cmp.Compare(b.Log10-b.Limit10, a.Log10-a.Limit10) })
 	return list
 }
+
+// figures appends the figures of one route.
+func (r *route) figures(list []Figure, limit float64, threshold time.Duration, slow bool) []Figure {
+	f := Figure{
+		Route: r.name, Test: TestFailures,
+		OldRequests: r.old.Requests, OldEvents: r.old.Failures,
+		NewRequests: r.new.Requests, NewEvents: r.new.Failures,
+		Log10: r.failures.log() / math.Ln10, Limit10: limit / math.Ln10,
+	}
+	list = append(list, f)
+	if slow {
+		f.Test, f.Threshold = TestSlow, threshold
+		f.OldEvents, f.NewEvents = r.oldSlow, r.newSlow
+		f.Log10 = r.slow.log() / math.Ln10
+		list = append(list, f)
+	}
+	return list
+}
--- a/count/collect.go
+++ b/count/collect.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -32,15 +33,18 @@
 		domain string
 
 		mu      sync.Mutex
-		durable Set                // reduction of the stream up to offset
-		fresh   map[NodeKey]Report // reports and ends not yet read back from the stream
+		durable Set                      // reduction of the stream up to offset
+		fresh   map[NodeKey]*incarnation // reports and ends not yet read back from the stream
+		final   map[NodeKey]struct{}     // incarnations to fold
 		offset  shunt.Offset
 	}
 )
 
 // NewCollector returns a collector of a failure domain that has read nothing yet.
 func NewCollector(l shunt.Log, clock clockwork.Clock, domain string) *Collector {
-	return &Collector{log: l, clock: clock, domain: domain, fresh: make(map[NodeKey]Report)}
+	return &Collector{
+		log: l, clock: clock, domain: domain, fresh: make(map[NodeKey]*incarnation), final: make(map[NodeKey]struct{}),
+	}
 }
 
 // Ingest takes in a node's report. A report of a later incarnation ends the earlier ones of the same node.
@@ -73,20 +77,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
-	var view Set
-	for k, r := range c.fresh {
-		view.Merge(r)
-		if in := c.durable.live[k]; in != nil {
-			view.Merge(in.report(k))
-		}
+	view := Set{base: c.durable.base, ended: c.durable.ended, live: maps.Clone(c.durable.live)}
+	if view.live == nil {
+		view.live = make(map[NodeKey]*incarnation)
 	}
-	rest := Set{base: c.durable.base, ended: c.durable.ended, live: make(map[NodeKey]*incarnation)}
-	for k, in := range c.durable.live {
-		if _, ok := c.fresh[k]; !ok {
-			rest.live[k] = in
+	for k, in := range c.fresh {
+		if durable := view.live[k]; durable != nil {
+			in = in.joined(durable)
 		}
+		view.live[k] = in
 	}
-	return Join(rest.Merged(service, now), view.Merged(service, now))
+	return view.Merged(service, now)
 }
 
 // Recover reads the counts stream up to its head. It must succeed once before the first Flush.
@@ -157,33 +158,27 @@
 			end = in.info.HeardAt
 		}
 		if !end.IsZero() && now.Sub(end) >= FoldAfter {
-			r := in.report(k)
-			r.Final = true
-			c.stage(r)
+			c.stage(in.report(k))
+			c.final[k] = struct{}{}
 		}
 	}
 	reports := make([]Report, 0, len(c.fresh))
-	for _, r := range c.fresh {
+	for k, in := range c.fresh {
+		r := in.report(k)
+		_, r.Final = c.final[k]
 		reports = append(reports, r)
 	}
 	return reports
 }
 
-// stage merges a report into the ones not yet durable.
+// stage merges a report into what is not durable yet.
 func (c *Collector) stage(r Report) {
-	old, ok := c.fresh[r.NodeKey]
-	if !ok {
-		c.fresh[r.NodeKey] = r
-		return
+	in := c.fresh[r.NodeKey]
+	if in == nil {
+		in = newIncarnation(r.NodeKey)
+		c.fresh[r.NodeKey] = in
 	}
-	var s Set
-	final := old.Final || r.Final
-	old.Final, r.Final = false, false
-	s.Merge(old)
-	s.Merge(r)
-	merged := s.live[r.NodeKey].report(r.NodeKey)
-	merged.Final = final
-	c.fresh[r.NodeKey] = merged
+	in.merge(&r)
 }
 
 func (c *Collector) knows(k NodeKey) bool {
--- a/count/reduce.go
+++ b/count/reduce.go
@@ -68,28 +68,35 @@
 			c.durable.Merge(r)
 		}
 	}
-	for k, r := range c.fresh {
-		if c.durable.covers(r) {
+	for k, in := range c.fresh {
+		if c.durable.covers(k, in) {
 			delete(c.fresh, k)
 		}
 	}
+	for k := range c.final {
+		if k.Incarnation <= c.durable.folded[k.Node] {
+			delete(c.final, k)
+		}
+	}
 }
 
-// covers reports whether merging the report would change nothing.
-func (s *Set) covers(r Report) bool {
-	if r.Incarnation <= s.folded[r.Node] {
+// covers reports whether the set has all that is known of an incarnation.
+func (s *Set) covers(k NodeKey, fresh *incarnation) bool {
+	if k.Incarnation <= s.folded[k.Node] {
 		return true
 	}
-	in := s.live[r.NodeKey]
-	if in == nil || r.Final {
+	in := s.live[k]
+	if in == nil {
 		return false
 	}
 	probe := incarnation{info: in.info}
-	if probe.hear(&r) {
+	if r := (Report{
+		Domain: fresh.info.Domain, At: fresh.info.HeardAt, Last: fresh.info.Last, EndedAt: fresh.info.EndedAt,
+	}); probe.hear(&r) {
 		return false
 	}
-	for _, c := range r.Cells {
-		if known := in.cells[c.Key]; Merge(known, c.Values) != known {
+	for key, v := range fresh.cells {
+		if known := in.cells[key]; Merge(known, v) != known {
 			return false
 		}
 	}
--- a/count/set.go
+++ b/count/set.go
@@ -51,13 +51,7 @@
 	if r.Incarnation <= s.folded[r.Node] {
 		return false
 	}
-	in := s.incarnation(r.NodeKey)
-	changed := in.hear(&r)
-	for _, c := range r.Cells {
-		merged := Merge(in.cells[c.Key], c.Values)
-		changed = changed || merged != in.cells[c.Key]
-		in.cells[c.Key] = merged
-	}
+	changed := s.incarnation(r.NodeKey).merge(&r)
 	if r.Final {
 		s.fold(r.NodeKey)
 		return true
@@ -149,12 +143,40 @@
 	}
 	in := s.live[node]
 	if in == nil {
-		in = &incarnation{info: NodeInfo{NodeKey: node}, cells: make(map[Key]Values)}
+		in = newIncarnation(node)
 		s.live[node] = in
 	}
 	return in
 }
 
+func newIncarnation(node NodeKey) *incarnation {
+	return &incarnation{info: NodeInfo{NodeKey: node}, cells: make(map[Key]Values)}
+}
+
+// merge takes in a report and returns whether it changed anything.
+func (in *incarnation) merge(r *Report) bool {
+	changed := in.hear(r)
+	for i := range r.Cells {
+		c := &r.Cells[i]
+		known := in.cells[c.Key]
+		if merged := Merge(known, c.Values); merged != known {
+			in.cells[c.Key] = merged
+			changed = true
+		}
+	}
+	return changed
+}
+
+// joined returns the maximum of two views of one incarnation.
+func (in *incarnation) joined(other *incarnation) *incarnation {
+	all := newIncarnation(in.info.NodeKey)
+	for _, part := range []*incarnation{in, other} {
+		r := part.report(in.info.NodeKey)
+		all.merge(&r)
+	}
+	return all
+}
+
 // hear takes in what a report says of the incarnation itself. The earliest end counts, since calls that
 // entered later would belong to another incarnation.
 func (in *incarnation) hear(r *Report) bool {
--- /dev/null
+++ b/trial/ledger.go
@@ -0,0 +1,114 @@
+// Package trial runs version moves against simulated traffic, to compare ways of deciding on them.
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+	"tanagershunt.example/shunt/state"
+)
+
+// Ledger reduces the step, complete and halt records of one move by the rules of the configuration. It stands
+// in for the whole configuration, of which a trial needs no more.
+type Ledger struct {
+	log shunt.Log
+
+	mu     sync.Mutex
+	status state.MoveStatus
+	offset shunt.Offset
+}
+
+// NewLedger returns the ledger of a move published at the given offset.
+func NewLedger(l shunt.Log, name string, version shunt.Offset, spec conf.Move, published time.Time) *Ledger {
+	return &Ledger{log: l, offset: version, status: state.MoveStatus{
+		Name: name, Version: version, Spec: spec, Published: published, Phase: state.PhasePending,
+	}}
+}
+
+// Follow reduces what the config stream has beyond the ledger's offset.
+func (l *Ledger) Follow(ctx context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, err := l.log.Read(ctx, shunt.StreamConfig, l.offset+1, 1000, 0)
+	if err != nil {
+		return err
+	}
+	for _, e := range b.Entries {
+		l.offset = e.Offset
+		var r state.Record
+		if json.Unmarshal(e.Data, &r) == nil {
+			l.apply(&r)
+		}
+	}
+	return nil
+}
+
+// Moves implements move.States.
+func (l *Ledger) Moves() []state.MoveStatus { return []state.MoveStatus{l.Status()} }
+
+// Offset implements move.States.
+func (l *Ledger) Offset() shunt.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.offset
+}
+
+// Status returns the status of the move.
+func (l *Ledger) Status() state.MoveStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.status
+	s.Steps = s.Steps[:len(s.Steps):len(s.Steps)]
+	return s
+}
+
+func (l *Ledger) apply(r *state.Record) {
+	s := &l.status
+	switch r.Kind {
+	case state.KindStep:
+		var b state.Step
+		if json.Unmarshal(r.Body, &b) == nil && b.Version == s.Version && l.stepValid(&b, r.At) {
+			s.Phase = state.PhaseRunning
+			s.Steps = append(s.Steps, state.StepTaken{
+				Number: b.Number, Share: b.Share, At: r.At, Offset: l.offset, Evidence: b.Evidence,
+			})
+		}
+	case state.KindComplete:
+		var b state.Complete
+		due := s.Spec.Deadline.Add(-conf.SpreadBound)
+		if json.Unmarshal(r.Body, &b) == nil && b.Version == s.Version && s.Open() &&
+			s.Share(r.At) == 1 && !r.At.After(due) {
+			s.Phase, s.CompletedAt, s.Evidence, s.Unconfirmed = state.PhaseCompleted, r.At, b.Evidence, b.Unconfirmed
+		}
+	case state.KindHalt:
+		var b state.Halt
+		inHold := s.Phase == state.PhaseCompleted && !r.At.After(s.CompletedAt.Add(time.Duration(s.Spec.Hold)))
+		if json.Unmarshal(r.Body, &b) == nil && b.Version == s.Version && (s.Open() || inHold) {
+			s.Phase, s.EndedAt, s.Reason, s.Evidence = state.PhaseRolledBack, r.At, b.Reason, b.Evidence
+		}
+	}
+}
+
+func (l *Ledger) stepValid(b *state.Step, at time.Time) bool {
+	s := &l.status
+	if !s.Open() || b.Number != len(s.Steps)+1 || !at.Before(s.Spec.Deadline) {
+		return false
+	}
+	var last state.StepTaken
+	if len(s.Steps) > 0 {
+		last = s.Steps[len(s.Steps)-1]
+	}
+	if b.Share <= last.Share || at.Before(last.At) {
+		return false
+	}
+	for _, rung := range s.Spec.Ladder() {
+		if rung > last.Share {
+			return b.Share <= rung
+		}
+	}
+	return false
+}
