--- a/trial/case.go
+++ b/trial/case.go
@@ -75,7 +75,7 @@
 		bad("flaps", 30*minute, func(m Moment) Effect {
 			return Effect{Fail: when(m.Since%(2*minute) < 20*second, 0.5)}
 		}),
-		bad("fails three times as often", 30*minute, func(Moment) Effect { return Effect{Fail: 0.01} }),
+		bad("fails six times as often", 30*minute, func(Moment) Effect { return Effect{Fail: 0.01} }),
 		bad("fails at all traffic only", 30*minute, func(m Moment) Effect {
 			return Effect{Fail: when(m.Share >= 1, 0.1)}
 		}),
