--- a/count/set.go
+++ b/count/set.go
@@ -99,9 +99,10 @@
 	return all
 }
 
-// Unknown bounds the calls that entered at an incarnation and are in none of its reports: its reported peak
-// rate times the time from its last report until its end became known, plus one flush interval for calls that
-// it counted but reported late. The bound is 0 for a live incarnation and after a last report. It is not
+// Unknown bounds the calls that entered at an incarnation and are in none of its reports: the most calls that it
+// reported for any one second, times the time from its last report until its end became known, plus one flush
+// interval for calls that it counted but reported late. This holds unless its rate exceeded all earlier ones
+// just before it ended. The bound is 0 for a live incarnation and after a last report. The calls are not
 // bounded when the incarnation ended before any report.
 func (n *NodeInfo) Unknown(flush time.Duration) (calls uint64, bounded bool) {
 	if n.Last || n.EndedAt.IsZero() {
@@ -210,7 +211,3 @@
 	}
 	return cells
 }
-
-func halved(passed time.Duration) float64 {
-	return math.Exp2(-passed.Seconds() / ratePeriod.Seconds())
-}
--- a/count/table.go
+++ b/count/table.go
@@ -3,16 +3,12 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
 )
 
-// ratePeriod is the half-life of the peak rate that a table reports.
-const ratePeriod = time.Minute
-
 type (
 	// Table counts the calls of one incarnation of a node and implements shunt.Counter. Keys come from the
 	// configuration, which bounds their number.
@@ -22,11 +18,18 @@
 
 		cells atomic.Pointer[map[Key]*cell] // replaced as a whole when a cell is added
 
-		mu      sync.Mutex // guards the fields below, and the replacement of cells
-		cursor  uint64
-		ratedAt time.Time
-		rated   uint64
-		peak    float64
+		mu     sync.Mutex // guards the cursor and the replacement of cells
+		cursor uint64
+
+		peak peak
+	}
+
+	// peak finds the largest number of calls in one second of their own time.
+	peak struct {
+		second atomic.Int64
+		calls  atomic.Uint64 // in the current second
+		mu     sync.Mutex
+		most   uint64 // in earlier seconds
 	}
 
 	cell struct {
@@ -41,11 +44,14 @@
 
 // NewTable returns an empty table of the incarnation that self describes.
 func NewTable(self shunt.Member, clock clockwork.Clock) *Table {
-	return &Table{self: self, clock: clock, ratedAt: clock.Now()}
+	return &Table{self: self, clock: clock}
 }
 
 // Sent implements shunt.Counter.
-func (t *Table) Sent(c shunt.Call) { t.count(SideSent, &c) }
+func (t *Table) Sent(c shunt.Call) {
+	t.peak.count(c.At.Unix())
+	t.count(SideSent, &c)
+}
 
 // Ran implements shunt.Counter.
 func (t *Table) Ran(c shunt.Call) { t.count(SideRan, &c) }
@@ -60,22 +66,18 @@
 		NodeKey: NodeKey{Node: t.self.Control, Incarnation: t.self.Incarnation},
 		Domain:  t.self.Domain,
 		Cursor:  t.cursor,
+		Rate:    float64(t.peak.highest()),
 	}
 	if t.clock == nil {
 		t.clock = clockwork.NewRealClock()
 	}
 	r.At = t.clock.Now()
-	var sent uint64
 	for k, c := range t.load() {
 		values, changed := c.read(t.cursor)
-		if k.Side == SideSent {
-			sent += values.Outcomes.Total()
-		}
 		if changed > since {
 			r.Cells = append(r.Cells, Cell{Key: k, Values: values})
 		}
 	}
-	r.Rate = t.rate(r.At, sent)
 	return r
 }
 
@@ -113,17 +115,28 @@
 	return c
 }
 
-// rate returns the highest rate seen, halved for every ratePeriod since. Intervals below a second are
-// joined with the next, since their rates say little.
-func (t *Table) rate(now time.Time, sent uint64) float64 {
-	passed := now.Sub(t.ratedAt)
-	if passed < time.Second {
-		return t.peak
-	}
-	decayed := t.peak * halved(passed)
-	t.peak = max(decayed, float64(sent-t.rated)/passed.Seconds())
-	t.ratedAt, t.rated = now, sent
-	return t.peak
+// count counts a call. Calls that race with the turn of a second may count for either.
+func (p *peak) count(second int64) {
+	if p.second.Load() != second {
+		p.turn(second)
+	}
+	p.calls.Add(1)
+}
+
+func (p *peak) turn(second int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.second.Load() == second {
+		return
+	}
+	p.most = max(p.most, p.calls.Swap(0))
+	p.second.Store(second)
+}
+
+func (p *peak) highest() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.most, p.calls.Load())
 }
 
 func (c *cell) count(call *shunt.Call) {
