--- a/count/collect.go
+++ b/count/collect.go
@@ -61,7 +61,9 @@
 	}
 }
 
-// Died takes in the death of an incarnation as membership found it.
+// Died takes in the death of an incarnation as membership found it; repetitions have no effect. A collector that
+// takes the role must be told all deaths that membership knows, because its predecessor may have lost the
+// incarnation's reports with its memory.
 func (c *Collector) Died(node string, incarnation uint64, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/count/collect_test.go
@@ -0,0 +1,109 @@
+package count_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/count"
+	"tanagershunt.example/shunt/mlog"
+)
+
+// TestFoldOnce guards against an incarnation that enters the base twice, when two collectors fold it, an append
+// is repeated after a lost answer, or its reports arrive late again.
+func TestFoldOnce(t *testing.T) {
+	ctx := context.Background()
+	clock := clockwork.NewFakeClock()
+	l := mlog.New(clock, mlog.Limits{})
+	table := count.NewTable(shunt.Member{Control: "n", Domain: "d", Incarnation: 5}, clock)
+	for range 7 {
+		table.Sent(shunt.Call{Service: "s", Route: "r", Version: "v", Domain: "d"})
+	}
+	early, late := table.Snapshot(0), table.Snapshot(0)
+	a, b := count.NewCollector(l, clock, "d"), count.NewCollector(l, clock, "d")
+	step := func(what string, faults mlog.Faults, c *count.Collector) {
+		l.SetFaults(faults)
+		if err := c.Flush(ctx); err != nil && !errors.Is(err, shunt.ErrAppendUnknown) {
+			t.Fatalf("%s: %v", what, err)
+		}
+		l.SetFaults(mlog.Faults{})
+		fresh := count.NewCollector(l, clock, "d")
+		if err := fresh.Recover(ctx); err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		for name, x := range map[string]*count.Collector{"a": a, "b": b, "fresh": fresh} {
+			m := x.Merged("s")
+			if len(m.Cells) != 1 || m.Cells[0].Outcomes.Total() != 7 {
+				t.Fatalf("%s: collector %s has %v, want one cell of 7 calls", what, name, m.Cells)
+			}
+		}
+	}
+	for _, c := range []*count.Collector{a, b} {
+		c.Ingest(early)
+		c.Died("n", 5, clock.Now())
+	}
+	step("first flush", mlog.Faults{LoseAnswers: 1}, a)
+	step("second flush", mlog.Faults{}, b)
+	clock.Advance(count.FoldAfter)
+	step("fold with a lost answer", mlog.Faults{LoseAnswers: 1}, a)
+	step("fold by the other", mlog.Faults{}, b)
+	step("fold again", mlog.Faults{}, a)
+	a.Ingest(late)
+	b.Ingest(early)
+	a.Died("n", 5, clock.Now())
+	step("late report", mlog.Faults{}, a)
+	before := len(a.Checkpoint().Live)
+	// An entry that repeats the fold, as an append with a late effect would.
+	final := early
+	final.Final, final.EndedAt = true, clock.Now()
+	entries, err := count.Encode("d", clock.Now(), []count.Report{final})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Append(ctx, shunt.StreamCounts, entries...); err != nil {
+		t.Fatal(err)
+	}
+	step("fold repeated in the log", mlog.Faults{}, a)
+	if before != 0 {
+		t.Fatalf("%d incarnations are kept beside the base, want 0", before)
+	}
+}
+
+// TestEntriesBelowLimit guards against a batch that the log refuses as too large for good.
+func TestEntriesBelowLimit(t *testing.T) {
+	var full count.Values
+	for i := range full.Latency {
+		full.Latency[i], full.WarmLatency[i] = 1<<62, 1<<62
+	}
+	full.LastAt, full.LastID = time.Unix(1, 1), "7b0b52d4-4a2b-4c5a-9f2f-0123456789ab"
+	r := count.Report{NodeKey: count.NodeKey{Node: "n", Incarnation: 1}, Final: true}
+	for i := range 1000 {
+		r.Cells = append(r.Cells, count.Cell{Key: count.Key{Service: "s", Route: fmt.Sprint(i)}, Values: full})
+	}
+	entries, err := count.Encode("d", time.Unix(0, 0), []count.Report{r, {NodeKey: count.NodeKey{Node: "m"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s count.Set
+	for _, data := range entries {
+		if len(data) > mlog.DefaultRecordLimit {
+			t.Fatalf("an entry has %d bytes, the limit is %d", len(data), mlog.DefaultRecordLimit)
+		}
+		e, err := count.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range e.Reports {
+			s.Merge(part)
+		}
+	}
+	m := s.Merged("s", time.Unix(0, 0))
+	if len(m.Cells) != 1000 || m.Cells[0].Latency != full.Latency {
+		t.Fatalf("%d cells after the round trip, want 1000 with their histograms", len(m.Cells))
+	}
+}
