--- /dev/null
+++ b/server/record.go
@@ -0,0 +1,74 @@
+// Package server holds the record of the node's own backend server.
+package server
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// maxSlots bounds the announced concurrency against mistyped numbers.
+const maxSlots = 1_000_000
+
+type (
+	// Announcement is the body of POST /v1/announce. The server repeats it as a heartbeat.
+	Announcement struct {
+		Service  string `json:"service"`
+		Version  string `json:"version"`
+		Slots    int    `json:"slots"`              // concurrent requests that the server can run
+		Address  string `json:"address"`            // ip:port of the server
+		Health   string `json:"health,omitempty"`   // path of a health endpoint
+		Load     string `json:"load,omitempty"`     // path of a load endpoint
+		Instance string `json:"instance,omitempty"` // differs between two starts of the server
+	}
+
+	// Record is what the node knows of its backend server. Service is empty when none is announced.
+	Record struct {
+		Announcement
+		Leaving    bool
+		Ready      bool // whether it takes new requests
+		ReadySince time.Time
+		Starts     uint64 // raised whenever the server counts as newly started and therefore cold
+	}
+
+	// Hints is what the server's own endpoints last said. They may lag and mislead.
+	Hints struct {
+		At     time.Time
+		Health bool   // whether the health endpoint, or the port when there is none, answered well
+		Load   string // start of the load endpoint's answer
+	}
+)
+
+var name = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Takes reports whether the server takes new requests.
+func (r Record) Takes() bool {
+	return r.Service != "" && r.Ready && !r.Leaving
+}
+
+// Validate returns an error that names the first wrong field and quotes its value.
+func (a Announcement) Validate() error {
+	switch {
+	case !name.MatchString(a.Service):
+		return fmt.Errorf("service: %q is not a name", a.Service)
+	case !name.MatchString(a.Version):
+		return fmt.Errorf("version: %q is not a name", a.Version)
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return fmt.Errorf("slots: %d is not between 1 and %d", a.Slots, maxSlots)
+	case a.Health != "" && !strings.HasPrefix(a.Health, "/"):
+		return fmt.Errorf("health: %q is not an absolute path", a.Health)
+	case a.Load != "" && !strings.HasPrefix(a.Load, "/"):
+		return fmt.Errorf("load: %q is not an absolute path", a.Load)
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return fmt.Errorf("address: %q is not ip:port", a.Address)
+	}
+	return nil
+}
+
+// sameServer reports whether two announcements come from one start of one server, as far as they show.
+func (a Announcement) sameServer(b Announcement) bool {
+	return a.Service == b.Service && a.Version == b.Version && a.Address == b.Address && a.Instance == b.Instance
+}
