--- a/claim/client.go
+++ b/claim/client.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// Claim implements shunt.Claimer. After an error the claim is given up in the background, because it may
-// have reached the log.
+// Claim implements shunt.Claimer. A claim that did not win but may still reach the log is given up in the
+// background.
 func (c *Client) Claim(ctx context.Context, r shunt.ClaimRequest) (shunt.ClaimAnswer, error) {
 	args := TakeArgs{
 		Schema: Schema, Partition: Partition(r.Key), Ask: uuid.NewString(), Key: r.Key, BodyHash: r.BodyHash,
@@ -85,33 +85,38 @@
 	if err := args.check(); err != nil {
 		return shunt.ClaimAnswer{}, err
 	}
-	answer, err := c.ask(ctx, args)
+	answer, stray, err := c.ask(ctx, args)
+	first := err == nil && answer.Verdict == shunt.ClaimFirst
 	switch {
-	case err != nil:
+	case first:
+		c.remember(r, args.Ask)
+	case stray:
 		c.enqueue(args.Partition, Settled{
 			Ask: args.Ask, Key: r.Key, RequestID: r.RequestID, Outcome: shunt.OutcomeNotRun,
 		})
+	}
+	if err != nil {
 		return shunt.ClaimAnswer{}, fmt.Errorf("claim key %q: %w", r.Key, err)
-	case answer.Verdict == shunt.ClaimFirst:
-		c.remember(r, args.Ask)
 	}
 	return answer, nil
 }
 
-// ask repeats the question until a holder answers or the context ends.
-func (c *Client) ask(ctx context.Context, args TakeArgs) (shunt.ClaimAnswer, error) {
+// ask repeats the question until a holder answers or the context ends. Stray means that a question without
+// an answer may still reach the log and take the key later, even when another one got a verdict.
+func (c *Client) ask(ctx context.Context, args TakeArgs) (answer shunt.ClaimAnswer, stray bool, err error) {
 	for {
 		reply, err := c.take(ctx, args)
 		if err == nil && !reply.Again {
-			return reply.Answer, nil
+			return reply.Answer, stray, nil
 		}
+		stray = stray || err != nil
 		if err != nil && final(err) {
-			return shunt.ClaimAnswer{}, err
+			return shunt.ClaimAnswer{}, stray, err
 		}
 		select {
 		case <-c.clock.After(askAgain):
 		case <-ctx.Done():
-			return shunt.ClaimAnswer{}, errors.Join(ctx.Err(), err)
+			return shunt.ClaimAnswer{}, stray, errors.Join(ctx.Err(), err)
 		}
 	}
 }
--- a/claim/holder.go
+++ b/claim/holder.go
@@ -121,6 +121,19 @@
 	return nil
 }
 
+// Size returns the number of retained records that the windows of all partitions refer to.
+func (h *Holder) Size() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, p := range h.partitions {
+		if p != nil {
+			n += int(p.size.Load())
+		}
+	}
+	return n
+}
+
 // Close refuses further requests, fails the waiting ones and waits for the partitions' goroutines.
 func (h *Holder) Close() {
 	h.mu.Lock()
--- a/claim/part.go
+++ b/claim/part.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"tanagershunt.example/shunt"
@@ -19,6 +20,7 @@
 		wake    chan struct{}
 		window  *window
 		begun   time.Time // of the last batch
+		size    atomic.Int64
 	}
 
 	// batch holds the operations of one append by kind and ask. An ask may occur several times when its
@@ -36,6 +38,7 @@
 func (p *partition) run() {
 	for p.await() {
 		p.process(p.holder.collect(p))
+		p.size.Store(int64(len(p.window.order)))
 	}
 }
 
