--- a/member/detector.go
+++ b/member/detector.go
@@ -28,6 +28,9 @@
 	LoneSuspicionTime = 5 * SuspicionTime
 	// indirectProbes is the number of members asked to probe one that did not answer.
 	indirectProbes = 3
+	// reviveEvery is the number of rounds between probes of members declared dead. Without them, the halves
+	// of a failure domain that was partitioned would never find each other again.
+	reviveEvery = 5
 	// expireEvery is the number of rounds between removals of old tombstones.
 	expireEvery = 60
 )
@@ -98,6 +101,9 @@
 	}
 	d.judge(start)
 	d.probeNext(ctx)
+	if d.round%reviveEvery == 0 {
+		d.probeDead(ctx)
+	}
 	d.probeDomains(ctx)
 	d.due = start.Add(ProbeInterval)
 	if now := d.clock.Now(); d.due.Before(now) {
@@ -194,19 +200,36 @@
 				return m, true
 			}
 		}
-		d.order = slices.Clone(d.targets())
+		d.order = d.members(false)
 		d.rng.Shuffle(len(d.order), func(i, j int) { d.order[i], d.order[j] = d.order[j], d.order[i] })
 	}
 	return shunt.Member{}, false
 }
 
-func (d *Detector) targets() []string {
+// probeDead probes one member that was declared dead. One that lives refutes that.
+func (d *Detector) probeDead(ctx context.Context) {
+	dead := d.members(true)
+	if len(dead) == 0 {
+		return
+	}
+	target, ok := d.table.Lookup(dead[d.rng.IntN(len(dead))])
+	if !ok {
+		return
+	}
+	if m, answered := d.ping(ctx, target); answered {
+		d.table.Merge(m)
+	}
+}
+
+// members returns the control addresses of the other members of the failure domain, sorted: those declared
+// dead or all others.
+func (d *Detector) members(dead bool) []string {
 	self := d.table.Self()
 	d.table.mu.RLock()
 	defer d.table.mu.RUnlock()
 	var controls []string
 	for control, e := range d.table.domains[self.Domain] {
-		if control != self.Control && e.Status != shunt.StatusDead {
+		if control != self.Control && (e.Status == shunt.StatusDead) == dead {
 			controls = append(controls, control)
 		}
 	}
@@ -223,6 +246,7 @@
 		return shunt.Member{}, false
 	}
 	d.clocks.add(sent, d.clock.Now(), reply.Time)
+	d.table.Merge(reply.View) // refutes what the other node wrongly believes of this one
 	return reply.Member, true
 }
 
--- a/member/probe.go
+++ b/member/probe.go
@@ -24,6 +24,7 @@
 	// PingReply is the response of Probe.Ping.
 	PingReply struct {
 		Member shunt.Member // the answering member's entry
+		View   shunt.Member // what it believes of the asker
 		Time   time.Time    // its clock
 	}
 
@@ -70,6 +71,7 @@
 func (p *Probe) Ping(args PingArgs, reply *PingReply) error {
 	p.table.Merge(args.From, args.View)
 	reply.Member = p.table.Self()
+	reply.View, _ = p.table.Lookup(args.From.Control)
 	reply.Time = p.clock.Now()
 	return nil
 }
--- a/relay/link.go
+++ b/relay/link.go
@@ -161,7 +161,7 @@
 		wait = FetchWait
 	}
 	args := l.hub.fetchArgs(c, wait)
-	args.NoRecords = !down
+	args.NoRecords, args.Lost = !down, c.lost
 	if l.domain != l.hub.self.Domain {
 		args.Only = l.domain
 	}
@@ -187,7 +187,8 @@
 	if err := h.call(ctx, peer, purposeLink, "Fetch", args.Wait, args, &reply); err != nil {
 		return err
 	}
-	reply.Lost = args.Lost // a reader observes the other failure domains itself
+	// A reader observes the other failure domains itself and takes over no other's view.
+	c.lost, reply.Lost = reply.Lost, args.Lost
 	h.take(c, args, &reply)
 	if !args.NoRecords {
 		if reply.TooOld {
--- a/relay/parent.go
+++ b/relay/parent.go
@@ -33,6 +33,7 @@
 	cursors struct {
 		members  member.Cursor
 		facts    FactCursor
+		lost     uint64 // links: what the other reader answered last
 		caughtUp bool
 		differ   time.Time // since when the digests of the own failure domain differ
 	}
