Serve the whole path with separate processes

Cause: everything else hangs on one request served end to end: publish, announce, call, answer, read back. Change: agent wires all parts of a node with fx and stops it gracefully; tsnode and tsdemo run it; a script runs three nodes, the log stand-in and the command as separate processes, kills one node and stops the others. Before: no program served a call.

--- a/admin/handler.go
+++ b/admin/handler.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gin-gonic/gin"
 
 	"tanagershunt.example/shunt"
@@ -40,6 +40,8 @@
 		History() opapi.History
 		// Dump returns everything that the node knows of its own state, encodable as JSON.
 		Dump() any
+		// WriteMetrics writes the node's metrics in the Prometheus text format.
+		WriteMetrics(w io.Writer)
 		// Report writes the report on a service in a format: text, json or svg.
 		Report(ctx context.Context, w http.ResponseWriter, service string, from, to time.Time, format string) error
 		// Lost returns, for each service that would lose its last ready server with a failure domain, a
@@ -70,7 +72,7 @@
 	v1.GET("/history", func(c *gin.Context) { c.JSON(http.StatusOK, node.History()) })
 	v1.GET("/dump", func(c *gin.Context) { c.IndentedJSON(http.StatusOK, node.Dump()) })
 	v1.GET("/report", h.report)
-	r.GET("/metrics", func(c *gin.Context) { metrics.WritePrometheus(c.Writer, true) })
+	r.GET("/metrics", func(c *gin.Context) { node.WriteMetrics(c.Writer) })
 	return r
 }
 
--- a/admin/publish_test.go
+++ b/admin/publish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -56,6 +57,7 @@
 func (n *fakeNode) Moves() []opapi.Move        { return nil }
 func (n *fakeNode) History() opapi.History     { return opapi.History{} }
 func (n *fakeNode) Dump() any                  { return nil }
+func (n *fakeNode) WriteMetrics(io.Writer)     {}
 func (n *fakeNode) Lost(string) []conf.Problem { return n.lost }
 func (n *fakeNode) Report(context.Context, http.ResponseWriter, string, time.Time, time.Time, string) error {
 	return nil
--- /dev/null
+++ b/agent/fleet.go
@@ -0,0 +1,205 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+	"tanagershunt.example/shunt/member"
+	"tanagershunt.example/shunt/opapi"
+	"tanagershunt.example/shunt/relay"
+	"tanagershunt.example/shunt/server"
+	"tanagershunt.example/shunt/state"
+)
+
+// fleet is the node's view of the fleet, as operators read it. It implements admin.Node.
+type fleet struct {
+	view
+	accounts *accounts
+	history  *history
+	meter    *meter
+	clock    clockwork.Clock
+}
+
+// State implements admin.Node.
+func (f *fleet) State() *state.State { return f.Hub.Current() }
+
+// Wait implements admin.Node.
+func (f *fleet) Wait(ctx context.Context, offset shunt.Offset) error { return f.Hub.Wait(ctx, offset) }
+
+// InForce implements admin.Node.
+func (f *fleet) InForce(ctx context.Context, offset shunt.Offset) (opapi.InForce, error) {
+	answer := opapi.InForce{Offset: offset}
+	for _, d := range f.Hub.ReadBack(ctx, offset) {
+		answer.InForce += d.InForce
+		answer.Total += d.InForce + len(d.Missing) + d.Unknown
+		answer.Missing = append(answer.Missing, d.Missing...)
+		if d.Unknown > 0 {
+			answer.Unknown = append(answer.Unknown, fmt.Sprintf("%s (%d nodes)", d.Domain, d.Unknown))
+		}
+	}
+	return answer, nil
+}
+
+// Moves implements admin.Node.
+func (f *fleet) Moves() []opapi.Move {
+	status := f.Hub.Status()
+	now := f.clock.Now()
+	moves := []opapi.Move{}
+	for _, m := range f.Hub.Current().Moves() {
+		x := opapi.Move{MoveStatus: *m, Share: m.Share(now)}
+		if f.Hub.Halted(m.Name, m.Version) {
+			x.Share = 0
+		}
+		x.Statement, x.Final = f.statement(m, status, now)
+		moves = append(moves, x)
+	}
+	return moves
+}
+
+// statement says how a move stands. Only the log ends a move, so a node that cannot read it says so.
+func (f *fleet) statement(m *state.MoveStatus, status relay.Status, now time.Time) (string, bool) {
+	halted := f.Hub.Halted(m.Name, m.Version)
+	switch {
+	case m.Phase == state.PhaseRolledBack:
+		return fmt.Sprintf("rolled back at %s because of %s", m.EndedAt.Format(time.RFC3339), m.Reason), true
+	case m.Phase == state.PhaseCompleted && halted:
+		return "stopped by this node after completion, not yet confirmed in the log", false
+	case m.Phase == state.PhaseCompleted:
+		text := "completed at " + m.CompletedAt.Format(time.RFC3339)
+		if now.Before(m.HeldUntil()) || status.LogDownFor > 0 {
+			return fmt.Sprintf("%s, can be rolled back until %s", text, m.HeldUntil().Format(time.RFC3339)), false
+		}
+		return text, true
+	case status.LogDownFor > 0:
+		return fmt.Sprintf(
+			"undecided, log unreachable since %s",
+			now.Add(-status.LogDownFor).Format(time.RFC3339),
+		), false
+	case halted:
+		return "stopped by this node, not yet confirmed in the log", false
+	case !now.Before(m.Spec.Deadline):
+		return "deadline passed, rollback not yet confirmed in the log", false
+	default:
+		return string(m.Phase), false
+	}
+}
+
+// Status implements admin.Node.
+func (f *fleet) Status() opapi.Status {
+	hub := f.Hub.Status()
+	current := f.Hub.Current()
+	self := f.Table.Self()
+	s := opapi.Status{
+		Node:         self.Control,
+		Domain:       self.Domain,
+		Offset:       hub.Offset,
+		Hash:         hub.Hash,
+		Serving:      hub.Waiting == "",
+		Waiting:      hub.Waiting,
+		Domains:      f.domains(current),
+		Configured:   current.Set().Len(),
+		GeneratedAt:  f.clock.Now().UTC(),
+		ServerStatus: serverText(f.Server.Current()),
+	}
+	if hub.LogDownFor > 0 {
+		s.LogStaleFor = hub.LogDownFor.Round(time.Second).String()
+	}
+	for _, m := range current.Moves() {
+		if m.Open() {
+			s.OpenMoves++
+		}
+	}
+	return s
+}
+
+func (f *fleet) domains(current *state.State) []opapi.Domain {
+	unreachable := f.Table.Unreachable()
+	byName := make(map[string]*opapi.Domain)
+	domain := func(name string) *opapi.Domain {
+		if byName[name] == nil {
+			byName[name] = &opapi.Domain{Name: name, State: "in", Unreachable: slices.Contains(unreachable, name)}
+		}
+		return byName[name]
+	}
+	for _, o := range current.Objects(conf.KindDomain) {
+		domain(o.Name)
+	}
+	for _, m := range f.members() {
+		if m.Status == shunt.StatusDead {
+			continue
+		}
+		d := domain(m.Domain)
+		d.Nodes++
+		switch {
+		case m.Status == shunt.StatusSuspect:
+			d.Suspect++
+		case m.Status == shunt.StatusLeaving:
+			d.Leaving++
+		case m.Ready:
+			d.Ready++
+		}
+	}
+	list := make([]opapi.Domain, 0, len(byName))
+	for name, d := range byName {
+		switch {
+		case current.DomainOut(name):
+			d.State = "out by operators"
+		case d.Unreachable:
+			d.State = "unreachable, not by operators"
+		}
+		list = append(list, *d)
+	}
+	slices.SortFunc(list, func(a, b opapi.Domain) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (f *fleet) members() []shunt.Member { return f.Table.Since(member.Query{}).Members }
+
+// Lost implements admin.Node.
+func (f *fleet) Lost(domain string) []conf.Problem {
+	var problems []conf.Problem
+	for _, o := range f.Hub.Current().Objects(conf.KindService) {
+		servers := f.Table.Servers(o.Name, "")
+		left := slices.DeleteFunc(slices.Clone(servers), func(m shunt.Member) bool { return m.Domain == domain })
+		if len(servers) == 0 || len(left) > 0 {
+			continue
+		}
+		problems = append(problems, conf.Problem{
+			Object: conf.Key{Kind: conf.KindDomain, Name: domain}.String(),
+			Field:  "state",
+			Text: fmt.Sprintf("service %q would lose all of its %d ready servers; set override to take it out anyway",
+				o.Name, len(servers)),
+		})
+	}
+	return problems
+}
+
+// Dump implements admin.Node.
+func (f *fleet) Dump() any { return f.dump() }
+
+// WriteMetrics implements admin.Node.
+func (f *fleet) WriteMetrics(w io.Writer) { f.meter.write(w) }
+
+// History implements admin.Node.
+func (f *fleet) History() opapi.History { return f.history.list() }
+
+func serverText(r server.Record) string {
+	switch {
+	case r.Service == "":
+		return "none announced"
+	case r.Leaving:
+		return fmt.Sprintf("%s %s leaving", r.Service, r.Version)
+	case !r.Ready:
+		return fmt.Sprintf("%s %s not ready", r.Service, r.Version)
+	default:
+		return fmt.Sprintf("%s %s ready", r.Service, r.Version)
+	}
+}
--- /dev/null
+++ b/agent/report.go
@@ -0,0 +1,181 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+	"tanagershunt.example/shunt/count"
+	"tanagershunt.example/shunt/report"
+	"tanagershunt.example/shunt/state"
+)
+
+const (
+	// seriesSteps is the number of intervals of a report's chart.
+	seriesSteps = 60
+	// minSeriesStep is the shortest interval: collectors append every 10 s.
+	minSeriesStep = count.FlushEvery
+	readLimit     = 1000
+)
+
+// Report implements admin.Node.
+func (f *fleet) Report(
+	ctx context.Context, w http.ResponseWriter, service string, from, to time.Time, format string,
+) error {
+	write, err := reportWriter(format)
+	if err != nil {
+		return err
+	}
+	in, err := f.reportInput(ctx, service, from, to)
+	if err != nil {
+		return err
+	}
+	return write(w, report.Build(in))
+}
+
+func reportWriter(format string) (func(http.ResponseWriter, *report.Report) error, error) {
+	switch format {
+	case "text":
+		return func(w http.ResponseWriter, r *report.Report) error {
+			w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+			_, err := fmt.Fprint(w, r.Text())
+			return err
+		}, nil
+	case "json":
+		return func(w http.ResponseWriter, r *report.Report) error {
+			w.Header().Set("Content-Type", "application/json")
+			data, err := r.JSON()
+			if err != nil {
+				return err
+			}
+			_, err = w.Write(data)
+			return err
+		}, nil
+	case "svg":
+		return func(w http.ResponseWriter, r *report.Report) error {
+			w.Header().Set("Content-Type", "image/svg+xml")
+			return r.Chart(w)
+		}, nil
+	default:
+		return nil, fmt.Errorf("format %q is not one of text, json, svg", format)
+	}
+}
+
+func (f *fleet) reportInput(ctx context.Context, service string, from, to time.Time) (*report.Input, error) {
+	now := f.clock.Now()
+	in := &report.Input{Service: service, From: from, To: to}
+	if down := f.Hub.Status().LogDownFor; down > 0 {
+		in.LogDown = now.Add(-down)
+	}
+	current := f.Hub.Current()
+	for _, m := range current.Moves() {
+		if m.Spec.Service == service {
+			in.Moves = append(in.Moves, *m)
+		}
+	}
+	for _, m := range f.members() {
+		if m.Status != shunt.StatusDead {
+			in.Expect = append(in.Expect, count.NodeKey{Node: m.Control, Incarnation: m.Incarnation})
+		}
+	}
+	if current.Closing(service) {
+		in.Quiet = f.quietSince(ctx, current, service)
+	}
+	logged, err := f.readCounts(ctx, in)
+	if err != nil && in.LogDown.IsZero() {
+		in.LogDown = now
+	}
+	if to.Before(now) {
+		in.Counts = logged
+		return in, nil
+	}
+	in.Counts, in.Silent, err = f.accounts.Merged(ctx, service)
+	return in, err
+}
+
+// readCounts reads the counts stream, fills in the counters at the period's start and the series, and returns
+// the counters at its end.
+func (f *fleet) readCounts(ctx context.Context, in *report.Input) (count.Merged, error) {
+	var before, until count.Set
+	var series *report.Series
+	first := in.From
+	err := f.eachCounts(ctx, func(e *count.Entry) {
+		if e.At.After(in.To) {
+			return
+		}
+		if first.IsZero() {
+			first = e.At
+		}
+		if series == nil {
+			series = report.NewSeries(in.Service, max(in.To.Sub(first)/seriesSteps, minSeriesStep))
+		}
+		for _, r := range e.Reports {
+			until.Merge(r)
+			if !e.At.After(in.From) {
+				before.Merge(r)
+			}
+		}
+		series.Add(e)
+	})
+	if !in.From.IsZero() {
+		in.Before = before.Merged(in.Service, in.From)
+	}
+	if series != nil {
+		for _, p := range series.Points() {
+			if !p.At.Before(in.From) {
+				in.Series = append(in.Series, p)
+			}
+		}
+	}
+	return until.Merged(in.Service, in.To), err
+}
+
+func (f *fleet) eachCounts(ctx context.Context, visit func(*count.Entry)) error {
+	for from := shunt.Offset(1); ; {
+		b, err := f.accounts.log.Read(ctx, shunt.StreamCounts, from, readLimit, 0)
+		var truncated *shunt.TruncatedError
+		switch {
+		case errors.As(err, &truncated) && truncated.First > from:
+			from = truncated.First
+			continue
+		case err != nil:
+			return err
+		case len(b.Entries) == 0:
+			return nil
+		}
+		for _, x := range b.Entries {
+			from = x.Offset + 1
+			e, err := count.Decode(x.Data)
+			if err != nil {
+				continue // a newer program's entry: its node is then among those that have not accounted
+			}
+			visit(&e)
+		}
+	}
+}
+
+// quietSince returns the time from which no request of a closing service can be in progress, zero when the
+// record that closed it can't be read.
+func (f *fleet) quietSince(ctx context.Context, current *state.State, service string) time.Time {
+	offset := current.Version(conf.Key{Kind: conf.KindService, Name: service})
+	b, err := f.accounts.log.Read(ctx, shunt.StreamConfig, offset, 1, 0)
+	if err != nil || len(b.Entries) == 0 {
+		return time.Time{}
+	}
+	var r state.Record
+	if err := json.Unmarshal(b.Entries[0].Data, &r); err != nil {
+		return time.Time{}
+	}
+	longest := conf.DefaultTimeout
+	for _, o := range current.Objects(conf.KindRoute) {
+		if route, ok := o.Spec.(*conf.Route); ok && route.Service == service {
+			longest = max(longest, route.Contract().Timeout)
+		}
+	}
+	return r.At.Add(conf.SpreadBound + longest)
+}
--- /dev/null
+++ b/agent/source.go
@@ -0,0 +1,40 @@
+package agent
+
+import (
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/relay"
+	"tanagershunt.example/shunt/state"
+)
+
+type (
+	// source implements shunt.Source over the node's configuration.
+	source struct {
+		hub   *relay.Hub
+		clock clockwork.Clock
+	}
+
+	// router routes by one immutable configuration and the facts known now.
+	router struct {
+		state *state.State
+		source
+	}
+)
+
+// Router implements shunt.Source.
+func (s source) Router() (shunt.Router, error) {
+	current, err := s.hub.Serving()
+	if err != nil {
+		return nil, err
+	}
+	return router{state: current, source: s}, nil
+}
+
+// Offset implements shunt.Router.
+func (r router) Offset() shunt.Offset { return r.state.Offset() }
+
+// Route implements shunt.Router.
+func (r router) Route(method, path string, draw float64) (shunt.Target, error) {
+	return r.state.Target(method, path, draw, r.clock.Now(), r.hub.Halted)
+}
--- a/logd/main.go
+++ b/logd/main.go
@@ -48,10 +48,10 @@
 	if check.Used {
 		return 0
 	}
+	logkv.Setup(os.Stderr, "info")
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(settings),
-		fx.Provide(func() *log.Logger { return logkv.New(os.Stderr, "info") }),
 		fx.Provide(func(s params.LogService) *mlog.Log {
 			return mlog.New(clockwork.NewRealClock(), mlog.Limits{
 				Retention:   time.Duration(s.Retention),
@@ -69,7 +69,7 @@
 	return 0
 }
 
-func serve(lc fx.Lifecycle, settings params.LogService, store *mlog.Log, logger *log.Logger) {
+func serve(lc fx.Lifecycle, settings params.LogService, store *mlog.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
 	srv := &http.Server{
 		Handler:           mlog.Handler(store),
@@ -84,10 +84,10 @@
 			if err != nil {
 				return err
 			}
-			logger.WithField("address", l.Addr().String()).Info("log service listens")
+			log.WithField("address", l.Addr().String()).Info("log service listens")
 			go func() {
 				if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-					logger.WithError(err).Error("log service failed")
+					log.WithError(err).Error("log service failed")
 				}
 			}()
 			return nil
--- a/logkv/logger.go
+++ b/logkv/logger.go
@@ -1,4 +1,4 @@
-// Package logkv makes loggers that write one line of key=value pairs for each event.
+// Package logkv sets up logs of one line of key=value pairs for each event.
 package logkv
 
 import (
@@ -8,16 +8,12 @@
 	"github.com/apex/log/handlers/logfmt"
 )
 
-// New returns a logger that writes to w from a level on: debug, info, warn or error. An empty level means info.
-func New(w io.Writer, level string) *log.Logger {
-	l := log.InfoLevel
+// Setup makes the process's log write to w from a level on: debug, info, warn or error. An empty level
+// means info.
+func Setup(w io.Writer, level string) {
+	log.SetHandler(logfmt.New(w))
+	log.SetLevel(log.InfoLevel)
 	if parsed, err := log.ParseLevel(level); err == nil {
-		l = parsed
+		log.SetLevel(parsed)
 	}
-	return &log.Logger{Handler: logfmt.New(w), Level: l}
-}
-
-// Discard returns a logger that writes nothing.
-func Discard() *log.Logger {
-	return &log.Logger{Handler: logfmt.New(io.Discard), Level: log.FatalLevel}
 }
--- a/member.go
+++ b/member.go
@@ -1,6 +1,9 @@
 package shunt
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Statuses of a member, in the order in which they override one another at equal incarnation and sequence.
 const (
@@ -62,6 +65,20 @@
 	}
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (s Status) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It returns an error for an unknown status.
+func (s *Status) UnmarshalText(text []byte) error {
+	for candidate := StatusAlive; candidate <= StatusDead; candidate++ {
+		if candidate.String() == string(text) {
+			*s = candidate
+			return nil
+		}
+	}
+	return fmt.Errorf("member status %q is unknown", text)
+}
+
 // Newer reports whether m overrides other in the membership table: by higher incarnation, then
 // sequence, then worse status.
 func (m Member) Newer(other Member) bool {
--- a/move/control.go
+++ b/move/control.go
@@ -35,6 +35,15 @@
 		Merged(ctx context.Context, service string) (m count.Merged, missing []string, err error)
 	}
 
+	// FactSet gives the facts of single moves. *Facts implements it.
+	FactSet interface {
+		shunt.Facts
+		// Of returns the facts of a move as published at an offset.
+		Of(move string, version shunt.Offset) []shunt.Fact
+		// HaltedEverywhere reports whether the facts halt a move on every node.
+		HaltedEverywhere(move string, version shunt.Offset) bool
+	}
+
 	// Options are the collaborators of a Controller. Skew, Routes and Unconfirmed may be nil.
 	Options struct {
 		Log       shunt.Log
@@ -42,7 +51,7 @@
 		Directory shunt.Directory
 		States    States
 		Counters  Counters
-		Facts     *Facts
+		Facts     FactSet
 		// Skew returns the difference of the own clock from the median of the peers' clocks.
 		Skew func() time.Duration
 		// Routes returns the number of routes of a service.
--- /dev/null
+++ b/node/path_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"tanagershunt.example/shunt/stub"
+)
+
+// eventuallyTimeout bounds the waits of scripts. It is far above what any step takes, so that a slow machine
+// changes no verdict.
+const eventuallyTimeout = 60 * time.Second
+
+// host holds the processes and backend servers of one script.
+type host struct {
+	mu        sync.Mutex
+	processes map[string]*exec.Cmd
+	exited    map[string]chan error
+	servers   map[string]*stub.Server
+}
+
+type hostKey struct{}
+
+// TestScripts runs the programs as separate processes on loopback.
+func TestScripts(t *testing.T) {
+	bin := t.TempDir()
+	for program, folder := range map[string]string{"tsnode": ".", "tsctl": "../oper", "tslogd": "../logd"} {
+		build := exec.CommandContext(t.Context(), "go", "build", "-o", filepath.Join(bin, program), folder)
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("build of %q: %v\n%s", program, err, out)
+		}
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
+			h := &host{
+				processes: make(map[string]*exec.Cmd),
+				exited:    make(map[string]chan error),
+				servers:   make(map[string]*stub.Server),
+			}
+			env.Values[hostKey{}] = h
+			env.Defer(h.close)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":      cmdStart,
+			"signal":     cmdSignal,
+			"backend":    cmdBackend,
+			"runs":       cmdRuns,
+			"call":       cmdCall,
+			"expand":     cmdExpand,
+			"eventually": cmdEventually,
+		},
+	})
+}
+
+func (h *host) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, p := range h.processes {
+		p.Process.Kill()
+		<-h.exited[name]
+	}
+}
+
+// cmdStart starts a program in the background, waits for the log line that names its addresses, and sets
+// an environment variable name_key for each of them: start name program args...
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	h := ts.Value(hostKey{}).(*host)
+	name := args[0]
+	p := exec.CommandContext(context.Background(), program(ts, args[1]), args[2:]...)
+	p.Dir = ts.MkAbs(".")
+	stderr, err := p.StderrPipe()
+	ts.Check(err)
+	ts.Check(p.Start())
+	exited := make(chan error, 1)
+	lines := bufio.NewScanner(stderr)
+	ready := false
+	for !ready && lines.Scan() {
+		ready = strings.Contains(lines.Text(), "node started") || strings.Contains(lines.Text(), "service listens")
+		ts.Logf("%s: %s", name, lines.Text())
+	}
+	if !ready {
+		ts.Fatalf("%q ended before it was ready", args[1])
+	}
+	for _, field := range strings.Fields(lines.Text()) {
+		if key, value, ok := strings.Cut(field, "="); ok {
+			ts.Setenv(name+"_"+key, value)
+		}
+	}
+	log, err := os.Create(ts.MkAbs(name + ".log"))
+	ts.Check(err)
+	go func() {
+		io.Copy(log, stderr)
+		exited <- p.Wait()
+		log.Close()
+	}()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.processes[name], h.exited[name] = p, exited
+}
+
+// cmdSignal sends TERM or KILL and waits for the end: signal TERM name. After TERM the exit status must be 0.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	h := ts.Value(hostKey{}).(*host)
+	h.mu.Lock()
+	p, exited := h.processes[args[1]], h.exited[args[1]]
+	delete(h.processes, args[1])
+	h.mu.Unlock()
+	if args[0] == "KILL" {
+		ts.Check(p.Process.Kill())
+		<-exited
+		return
+	}
+	ts.Check(p.Process.Signal(syscall.SIGTERM))
+	ts.Check(<-exited)
+}
+
+// cmdBackend starts a backend server and announces it: backend name service version servers-listener.
+func cmdBackend(ts *testscript.TestScript, _ bool, args []string) {
+	h := ts.Value(hostKey{}).(*host)
+	server := stub.New(stub.Behaviour{Service: args[1], Version: args[2], Slots: 4}, clockwork.NewRealClock(), 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ts.Defer(cancel)
+	go server.Serve(ctx, l)
+	ts.Check(server.Announce(ctx, args[3], l.Addr().String()))
+	h.servers[args[0]] = server
+}
+
+// cmdRuns compares the number of requests that all backend servers ran: runs count.
+func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
+	total := 0
+	for _, s := range ts.Value(hostKey{}).(*host).servers {
+		total += s.Totals().Runs
+	}
+	if fmt.Sprint(total) != args[0] {
+		ts.Fatalf("backend servers ran %d requests, want %s", total, args[0])
+	}
+}
+
+// cmdCall makes one call and prints status, outcome and body: call method url [key].
+func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
+	req, err := http.NewRequest(args[0], args[1], strings.NewReader("body"))
+	ts.Check(err)
+	if len(args) > 2 {
+		req.Header.Set("Idempotency-Key", args[2])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	fmt.Fprintf(ts.Stdout(), "%d %s %s\n", resp.StatusCode, resp.Header.Get("Tanager-Outcome"), body)
+}
+
+// cmdExpand replaces environment variables in a file: expand file.
+func cmdExpand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, file := range args {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
+// cmdEventually repeats a program until its output contains a text: eventually text program args...
+func cmdEventually(ts *testscript.TestScript, _ bool, args []string) {
+	var out []byte
+	for end := time.Now().Add(eventuallyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		p := exec.CommandContext(context.Background(), program(ts, args[1]), args[2:]...)
+		p.Env = append(os.Environ(), "TSCTL_NODE="+ts.Getenv("TSCTL_NODE"))
+		var err error
+		if out, err = p.CombinedOutput(); err == nil && strings.Contains(string(out), args[0]) {
+			return
+		}
+	}
+	ts.Fatalf("output of %v never contained %q but was:\n%s", args[1:], args[0], out)
+}
+
+// program returns the path of a program built for the test.
+func program(ts *testscript.TestScript, name string) string {
+	bin, _, _ := strings.Cut(ts.Getenv("PATH"), string(os.PathListSeparator))
+	return filepath.Join(bin, name)
+}
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -54,6 +54,8 @@
 		Seed        uint64        // of the jitter
 		Retention   time.Duration // of the log; 0 when records are kept for good
 		RecordLimit int           // bytes of one record of the log; 0 means DefaultRecordLimit
+		// Applied, when set, is called with each record reduced. It must not call the hub.
+		Applied func(shunt.Entry, state.Outcome)
 	}
 
 	// Hub holds a node's current configuration and exchanges records, members and facts with other nodes.
--- a/relay/record.go
+++ b/relay/record.go
@@ -43,13 +43,16 @@
 		if e.Offset <= s.Offset() {
 			continue
 		}
-		next, _, err := s.Apply(e.Offset, e.Data)
+		next, outcome, err := s.Apply(e.Offset, e.Data)
 		if err != nil {
 			failed = err
 			break
 		}
 		s = next
 		h.recent.push(record{Entry: e, hash: s.Hash()})
+		if h.opts.Applied != nil {
+			h.opts.Applied(e, outcome)
+		}
 		n++
 	}
 	if n > 0 {
