Add the benchmark program

Change: tsbench measures the cost of a call against a direct call, service while a failure domain leaves and returns against round robin without admission, and moves against a fixed-step timer; link.Limits.Wrap lets it delay connections. Not run yet: the outage part.

--- /dev/null
+++ b/bench/moves.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"runtime"
+
+	"tanagershunt.example/shunt/trial"
+)
+
+// moveSeeds is the number of seeds with which each case of a version's behaviour is run.
+const moveSeeds = 4
+
+// benchMoves runs moves of good and bad versions, with the fixed-step timer as the baseline.
+func benchMoves(out *figures, seed uint64) {
+	cases := trial.Cases()
+	seeds := make([]uint64, moveSeeds)
+	for i := range seeds {
+		seeds[i] = seed + uint64(i)
+	}
+	n := len(cases) * moveSeeds
+	measured := trial.All(cases, seeds, trial.Sequential, runtime.NumCPU())
+	base := trial.All(cases, seeds, trial.Timer, runtime.NumCPU())
+	add := func(name, unit string, value, baseline float64, target *float64) {
+		out.add(figure{
+			Name: "moves_" + name, Value: value, Unit: unit, Baseline: number(baseline), Target: target, Seed: seed, Size: n,
+		})
+	}
+	add("good_on_time", "share", measured.GoodOnTime, base.GoodOnTime, number(1))
+	add("bad_rolled_back", "share", measured.BadRolledBack, base.BadRolledBack, number(1))
+	add("bad_received_mean", "requests", measured.MeanReceived, base.MeanReceived, nil)
+	add("bad_received_max", "requests", float64(measured.MaxReceived), float64(base.MaxReceived), nil)
+	add("bad_to_zero_mean", "s", measured.MeanToZero.Seconds(), base.MeanToZero.Seconds(), nil)
+	add("bad_to_zero_max", "s", measured.MaxToZero.Seconds(), base.MaxToZero.Seconds(), nil)
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -23,6 +23,8 @@
 		IdlePerAddr  int           // idle connections to one address, default 64
 		ConnsPerAddr int           // connections to one address, default unlimited
 		HeaderBytes  int64         // header of an answer, default 64 KiB
+		// Wrap, when set, wraps each new connection to an address, for instance to delay it in measurements.
+		Wrap func(c net.Conn, addr string) net.Conn
 	}
 
 	// Pool sends requests over connections that it keeps per address. Use New.
@@ -82,6 +84,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.limits.Wrap != nil {
+		raw = p.limits.Wrap(raw, addr)
+	}
 	c := newConn(raw, p, addr)
 	p.remember(c)
 	return c, nil
