Refuse two changes that would redirect traffic without a move

Cause: an active version that no object refers to could be given to another service, and deleting a failure domain that is out would have sent requests to its servers again. Change: the service of a version cannot change, and a failure domain cannot be deleted while it is out. Tests: golden cases for both; the state machine also draws versions of other services.

--- a/conf/valid.go
+++ b/conf/valid.go
@@ -100,7 +100,7 @@
 	case *Service:
 		v.service(key, spec)
 	case *Version:
-		v.serviceExists(key, spec.Service)
+		v.version(key, spec)
 	case *Route:
 		v.route(key, spec)
 	case *Move:
@@ -126,6 +126,14 @@
 	}
 }
 
+func (v *checker) version(key Key, spec *Version) {
+	v.serviceExists(key, spec.Service)
+	// An active version is not always referred to by an object, so a change could take it away from its service.
+	if old, ok := v.Old.Version(key.Name); ok && old.Service != spec.Service {
+		v.add(key, "service", "cannot change from %q to %q", old.Service, spec.Service)
+	}
+}
+
 func (v *checker) changesVersion(name string, s *Service) bool {
 	old, ok := v.Old.Service(name)
 	return ok && old.Version != s.Version
@@ -182,6 +190,10 @@
 	for _, key := range v.change.Deleted {
 		o, _ := v.Old.Get(key)
 		switch spec := o.Spec.(type) {
+		case *Domain:
+			if spec.State == DomainOut {
+				v.add(o.Key(), "state", "cannot be deleted while it is out: its servers would receive requests again")
+			}
 		case *Move:
 			if !v.moveState(o.Name).Final(v.At) {
 				v.add(o.Key(), "name", "cannot be deleted before it is rolled back or its hold period has passed")
--- a/conf/valid_test.go
+++ b/conf/valid_test.go
@@ -104,6 +104,8 @@
 		{name: "active version deleted", remove: []Key{{KindMove, "held"}, {KindVersion, "shop-v2"}}, change: final},
 		{name: "last failure domain out", set: outs},
 		{name: "last failure domain deleted", remove: []Key{{KindDomain, "d1"}}},
+		{name: "failure domain deleted while out", remove: []Key{{KindDomain, "d2"}}},
+		{name: "version taken to another service", set: []Object{New("shop-v2", &Version{Service: "desk"})}},
 		{name: "override", set: []Object{New("d1", &Domain{Region: "r1", State: DomainOut, Override: true})}},
 		{name: "capacity hook", set: append(outs, New("d2", &Domain{Region: "r1"})), change: func(c *Context) {
 			c.Capacity = func(domain string) []Problem {
--- a/state/dump.go
+++ b/state/dump.go
@@ -36,7 +36,9 @@
 		put(&s.hash, "version", &s.versions, o.Object.Key(), o.Version)
 	}
 	for _, m := range d.Moves {
-		s.putMove(m)
+		if m != nil {
+			s.putMove(m)
+		}
 	}
 	for name, t := range d.Services {
 		s.putTraffic(name, t)
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -117,7 +117,7 @@
 			Service: service, From: m.first.ActiveVersion(service), To: version,
 			Deadline: deadline, MinObserve: 1e9, Hold: conf.Duration(20 * time.Second),
 		}),
-		conf.New(version, &conf.Version{Service: service}),
+		conf.New(version, &conf.Version{Service: rapid.SampledFrom([]string{service, service, "a"}).Draw(t, "owner")}),
 		conf.New(service, &conf.Service{Version: version}),
 		conf.New(
 			rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "route"),
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -20,8 +20,8 @@
 const (
 	// chunkOverhead bounds the JSON form of a chunk without its data.
 	chunkOverhead = 512
-	// dumpLimit bounds the memory that a faulty snapshot can take when it is decompressed.
-	dumpLimit = 256 << 20
+	// dumpLimit bounds the memory that a faulty snapshot can take when it is decompressed. A node has 256 MB.
+	dumpLimit = 64 << 20
 )
 
 type (
