Bound the reading of bodies and prove the call path against faults

Cause: fault tests found three faults. A read deadline removed after the handler had ended undid the one by which net/http stops its watch for a leaving caller, and blocked the connection for good. Replacing the body of the server's own request hid Expect: 100-continue from it, so a refusal waited for a body that the caller held back. Transport waits for a blocked body read, whatever the deadline. Change: no deadline is touched after the handler; the handler gets a copy of the request; reading from the caller ends with the request's context.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"sync"
@@ -56,6 +57,15 @@
 	return b.err != nil && !errors.Is(b.err, io.EOF)
 }
 
+// watch stops the reading of a caller's body when the context ends, and returns a function that ends the watch.
+// Without it, net/http's Transport would wait for a read that is blocked, whatever the request's deadline.
+func watch(ctx context.Context, body io.Reader) (stop func() bool) {
+	if b, ok := body.(*progressBody); ok {
+		return context.AfterFunc(ctx, b.expire)
+	}
+	return func() bool { return true }
+}
+
 // endBody calls a function once, when a body ends, fails or is closed. The error is nil for a complete body.
 type endBody struct {
 	io.ReadCloser
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -88,8 +88,11 @@
 	rc := http.NewResponseController(w)
 	if r.Body != nil && r.Body != http.NoBody {
 		b := &progressBody{ReadCloser: r.Body, rc: rc, limit: p.limits.Read}
-		r.Body = b
 		defer b.finish()
+		// The server inspects the body of its own request to see whether the caller still waits for
+		// 100 Continue, so only a copy gets another body.
+		r = r.WithContext(r.Context())
+		r.Body = b
 	}
 	p.next.ServeHTTP(&progressWriter{ResponseWriter: w, rc: rc, limit: p.limits.Write}, r)
 }
@@ -153,21 +156,25 @@
 	}
 }
 
-// Expire ends a running read and all later ones. The connection takes no further request.
-func (b *progressBody) Expire() {
+// expire ends a running read and all later ones. The connection takes no further request.
+func (b *progressBody) expire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.expired {
+		return
+	}
 	b.expired = true
 	_ = b.rc.SetReadDeadline(time.Unix(1, 0))
 }
 
-// finish ends the reading of a body that was begun and not finished. The server would otherwise wait for a
-// read that runs in another goroutine.
+// finish is called when the handler returns. It ends a read that still runs in another goroutine, for which
+// the server would wait. From then on the server sets deadlines itself: removing one here would undo the one
+// with which it stops its watch for a leaving caller, and block it for good.
 func (b *progressBody) finish() {
 	b.mu.Lock()
-	stuck := b.begun && !b.ended
-	b.mu.Unlock()
-	if stuck {
-		b.Expire()
+	defer b.mu.Unlock()
+	if b.begun && !b.ended && !b.expired {
+		_ = b.rc.SetReadDeadline(time.Unix(1, 0))
 	}
+	b.expired = true
 }
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -50,7 +50,7 @@
 		Pool      *link.Pool        // connections to other nodes
 		Local     http.RoundTripper // the node's own inbound half
 		Clock     clockwork.Clock
-		Draw      func() float64 // uniform in [0, 1), default rand.Float64
+		Draw      func() float64 // uniform in [0, 1), for concurrent use, default rand.Float64
 		Ramp      time.Duration  // time after which a server counts as warm, default 1m
 		Timeout   Timeout        // default context.WithTimeout
 	}
@@ -109,10 +109,16 @@
 		relay(w, f.response(c.id)) //nolint:bodyclose // relay closes it
 		return
 	}
-	ctx, cancel := o.Timeout(r.Context(), timeout(r.Header, c.limit()))
+	left := timeout(r.Header, c.limit())
+	if left <= 0 {
+		relay(w, c.refuse(notRun("no time left"))) //nolint:bodyclose // relay closes it
+		return
+	}
+	ctx, cancel := o.Timeout(r.Context(), left)
 	defer cancel()
 	c.ctx = ctx
-	relay(w, c.answer())
+	defer watch(ctx, r.Body)()
+	relay(w, c.answer()) //nolint:bodyclose // relay closes it
 }
 
 // route finds the request's target.
@@ -143,7 +149,7 @@
 
 // answer runs the request and returns what the caller gets.
 func (c *call) answer() *http.Response {
-	if err := c.payload.load(c.ctx, c.req); err != nil {
+	if err := c.payload.load(c.req); err != nil {
 		return c.refuse(notRun("request body cannot be read: " + err.Error()))
 	}
 	if f := c.claimKey(); f != nil {
--- a/proxy/payload.go
+++ b/proxy/payload.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 )
@@ -19,28 +18,20 @@
 		rest   io.Reader // what follows kept
 		length int64     // -1 when unknown
 		stream *onceBody // the streamed body of the last attempt
-		expire func()    // stops reading from the caller
 	}
-
-	// expirer is a request body whose reading can be stopped from another goroutine.
-	expirer interface{ Expire() }
 )
 
 // load reads a body of at most keepBytes. A longer one is streamed.
-func (p *payload) load(ctx context.Context, r *http.Request) error {
+func (p *payload) load(r *http.Request) error {
 	p.length = r.ContentLength
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		p.whole, p.length = true, 0
 		return nil
 	}
 	p.rest = r.Body
-	if e, ok := r.Body.(expirer); ok {
-		p.expire = e.Expire
-	}
 	if r.ContentLength > keepBytes {
 		return nil
 	}
-	defer p.watch(ctx)()
 	if r.ContentLength > 0 {
 		p.kept = make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, p.kept)
@@ -55,14 +46,6 @@
 	return err
 }
 
-// watch stops reading from the caller when the context ends.
-func (p *payload) watch(ctx context.Context) func() bool {
-	if p.expire == nil {
-		return func() bool { return true }
-	}
-	return context.AfterFunc(ctx, p.expire)
-}
-
 // attempt sets the body of a request for one attempt.
 func (p *payload) attempt(out *http.Request) {
 	out.ContentLength = p.length
@@ -84,6 +67,7 @@
 		// The other node asks for the body only once it has admitted the request, so a refusal leaves
 		// the body to another attempt.
 		out.Header["Expect"] = []string{"100-continue"}
+		out.ProtoMajor, out.ProtoMinor = 1, 1 // net/http's Transport waits only if set
 	}
 }
 
--- a/proxy/stand_test.go
+++ b/proxy/stand_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -11,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
@@ -20,7 +20,8 @@
 
 // backend is a stand-in backend server. It counts what it ran per request identifier.
 type backend struct {
-	addr string
+	addr  string
+	close func()
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -34,6 +35,12 @@
 	b.seen = append(b.seen, h)
 }
 
+func (b *backend) count(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
 func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -54,7 +61,8 @@
 		h(w, r)
 	})}
 	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { s.Close() })
+	b.close = func() { s.Close() }
+	t.Cleanup(b.close)
 	return b
 }
 
@@ -80,6 +88,7 @@
 	refusal    error
 	routing    error
 	routerErr  error
+	version    string
 	claim      shunt.ClaimAnswer
 	claimErr   error
 	claims     []shunt.ClaimRequest
@@ -93,7 +102,7 @@
 func (f *fakes) Offset() shunt.Offset          { return 7 }
 func (f *fakes) Route(string, string, float64) (shunt.Target, error) {
 	return shunt.Target{
-		Service: "desk", Route: "issue", Version: "desk-1",
+		Service: "desk", Route: "issue", Version: f.version,
 		Contract: shunt.Contract{Repeatable: f.repeatable, Timeout: 10 * time.Second},
 	}, f.routing
 }
@@ -151,7 +160,8 @@
 // newNode starts a node in front of a backend server at an address.
 func newNode(t testing.TB, b *backend) *node {
 	t.Helper()
-	n := &node{backend: b, clock: clockwork.NewFakeClock(), fakes: &fakes{allowance: 2}}
+	log.SetLevel(log.ErrorLevel)
+	n := &node{backend: b, clock: clockwork.NewFakeClock(), fakes: &fakes{allowance: 2, version: "desk-1"}}
 	pool := link.New(link.Limits{})
 	n.server = server.New(server.Limits{}, n.clock, pool)
 	if err := n.server.Announce(server.Announcement{
@@ -165,7 +175,7 @@
 	})
 	n.out = NewOutbound(OutboundConfig{
 		Source: f, Directory: f, Picker: f, Claimer: f, Counter: f, Budget: f, Pool: link.New(link.Limits{}),
-		Local: n.in, Clock: n.clock, Draw: rand.New(rand.NewPCG(1, 2)).Float64, Timeout: n.timeout,
+		Local: n.in, Clock: n.clock, Draw: func() float64 { return 0 }, Timeout: n.timeout,
 	})
 	n.member = shunt.Member{Control: b.addr, Calls: start(t, n.in), Domain: "east"}
 	n.callers = start(t, n.out)
