Test moves in the trial harness and weigh the alternatives

Cause: the verdict needs figures against a fixed horizon, repeated looks and an SPRT, and a baseline for the whole move.

--- a/canary/verdict.go
+++ b/canary/verdict.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// Bad reports whether the evidence calls the new version bad, at less cost than Verdict.
+func (t *Test) Bad() bool {
+	if t.whole.bad(t.limit(-1)) {
+		return true
+	}
+	for i, r := range t.routes {
+		if r.bad(t.limit(i)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Verdict returns the verdict at a time. Bad is final only if the caller acts on it: evidence may fall again.
 func (t *Test) Verdict(now time.Time) Verdict {
 	v := Verdict{Requests: t.step.requests, Figures: t.figures()}
@@ -152,6 +165,8 @@
 	return list
 }
 
+func (r *route) bad(limit float64) bool { return r.failures.log() >= limit || r.slow.log() >= limit }
+
 // figures appends the figures of one route.
 func (r *route) figures(list []Figure, limit float64, threshold time.Duration, slow bool) []Figure {
 	f := Figure{
--- a/count/reduce.go
+++ b/count/reduce.go
@@ -36,12 +36,12 @@
 	if p.Offset <= c.offset {
 		return nil
 	}
-	s := Set{base: make(map[Key]Values), folded: maps.Clone(p.Folded), ended: p.Ended}
+	s := Set{base: make(map[Key]*Values), folded: maps.Clone(p.Folded), ended: p.Ended}
 	if s.folded == nil {
 		s.folded = make(map[string]uint64)
 	}
-	for _, cell := range p.Base {
-		s.base[cell.Key] = cell.Values
+	for i := range p.Base {
+		addTo(s.base, p.Base[i].Key, &p.Base[i].Values)
 	}
 	for _, r := range p.Live {
 		s.Merge(r)
@@ -96,7 +96,7 @@
 		return false
 	}
 	for key, v := range fresh.cells {
-		if known := in.cells[key]; Merge(known, v) != known {
+		if known := in.cells[key]; known == nil || Merge(*known, *v) != *known {
 			return false
 		}
 	}
--- a/count/set.go
+++ b/count/set.go
@@ -12,14 +12,14 @@
 	// Set holds the counters of many incarnations. Its zero value is empty. It is not safe for concurrent use.
 	Set struct {
 		live   map[NodeKey]*incarnation
-		base   map[Key]Values
+		base   map[Key]*Values
 		folded map[string]uint64 // by control address: highest incarnation in the base
 		ended  []NodeInfo        // folded incarnations that ended without a last report
 	}
 
 	incarnation struct {
 		info  NodeInfo
-		cells map[Key]Values
+		cells map[Key]*Values
 	}
 
 	// NodeInfo says where and when an incarnation was last heard.
@@ -61,11 +61,11 @@
 
 // Merged returns the sum of a service's counters. An empty service means all.
 func (s *Set) Merged(service string, now time.Time) Merged {
-	sum := make(map[Key]Values)
-	add := func(cells map[Key]Values) {
+	sum := make(map[Key]*Values)
+	add := func(cells map[Key]*Values) {
 		for k, v := range cells {
 			if service == "" || k.Service == service {
-				sum[k] = Add(sum[k], v)
+				addTo(sum, k, v)
 			}
 		}
 	}
@@ -84,15 +84,15 @@
 // only, which holds when each collector serves one failure domain.
 func Join(parts ...Merged) Merged {
 	var all Merged
-	sum := make(map[Key]Values)
+	sum := make(map[Key]*Values)
 	for _, p := range parts {
 		all.Service = p.Service
 		if all.At.IsZero() || p.At.Before(all.At) {
 			all.At = p.At
 		}
 		all.Nodes = append(all.Nodes, p.Nodes...)
-		for _, c := range p.Cells {
-			sum[c.Key] = Add(sum[c.Key], c.Values)
+		for i := range p.Cells {
+			addTo(sum, p.Cells[i].Key, &p.Cells[i].Values)
 		}
 	}
 	all.Cells = sortedCells(sum)
@@ -118,14 +118,14 @@
 // fold moves an incarnation, and all earlier ones of the same node, into the base.
 func (s *Set) fold(node NodeKey) {
 	if s.base == nil {
-		s.base, s.folded = make(map[Key]Values), make(map[string]uint64)
+		s.base, s.folded = make(map[Key]*Values), make(map[string]uint64)
 	}
 	for k, in := range s.live {
 		if k.Node != node.Node || k.Incarnation > node.Incarnation {
 			continue
 		}
 		for key, v := range in.cells {
-			s.base[key] = Add(s.base[key], v)
+			addTo(s.base, key, v)
 		}
 		if !in.info.Last {
 			s.ended = append(s.ended, in.info)
@@ -151,7 +151,7 @@
 }
 
 func newIncarnation(node NodeKey) *incarnation {
-	return &incarnation{info: NodeInfo{NodeKey: node}, cells: make(map[Key]Values)}
+	return &incarnation{info: NodeInfo{NodeKey: node}, cells: make(map[Key]*Values)}
 }
 
 // merge takes in a report and returns whether it changed anything.
@@ -160,8 +160,11 @@
 	for i := range r.Cells {
 		c := &r.Cells[i]
 		known := in.cells[c.Key]
-		if merged := Merge(known, c.Values); merged != known {
-			in.cells[c.Key] = merged
+		if known == nil {
+			known = &Values{}
+			in.cells[c.Key] = known
+		}
+		if known.merge(&c.Values) {
 			changed = true
 		}
 	}
@@ -204,10 +207,17 @@
 		cmp.Compare(k.Domain, o.Domain), cmp.Compare(k.Side, o.Side))
 }
 
-func sortedCells(m map[Key]Values) []Cell {
+func sortedCells(m map[Key]*Values) []Cell {
 	cells := make([]Cell, 0, len(m))
 	for _, k := range slices.SortedFunc(maps.Keys(m), Key.compare) {
-		cells = append(cells, Cell{Key: k, Values: m[k]})
+		cells = append(cells, Cell{Key: k, Values: *m[k]})
 	}
 	return cells
 }
+
+func addTo(sum map[Key]*Values, k Key, v *Values) {
+	if sum[k] == nil {
+		sum[k] = &Values{}
+	}
+	sum[k].add(v)
+}
--- a/count/value.go
+++ b/count/value.go
@@ -102,37 +102,62 @@
 // Merge returns the field-wise maximum of two values of the same cell of the same incarnation.
 // It is commutative, associative and idempotent.
 func Merge(a, b Values) Values {
-	merge := func(x, y uint64) uint64 { return max(x, y) }
-	return combine(a, b, merge)
+	a.merge(&b)
+	return a
 }
 
 // Add returns the sum of the values of two different incarnations or cells.
 func Add(a, b Values) Values {
-	return combine(a, b, func(x, y uint64) uint64 { return x + y })
+	a.add(&b)
+	return a
 }
 
 // Sub returns the growth from an earlier value of the same cell to a. A field that is below the earlier
 // one, as after a change of the collector, counts as no growth.
 func Sub(a, earlier Values) Values {
-	return combine(a, earlier, func(x, y uint64) uint64 {
-		if x < y {
-			return 0
-		}
-		return x - y
-	})
-}
-
-func combine(a, b Values, f func(x, y uint64) uint64) Values {
 	for i := range a.Outcomes {
-		a.Outcomes[i] = f(a.Outcomes[i], b.Outcomes[i])
-		a.Warm[i] = f(a.Warm[i], b.Warm[i])
+		a.Outcomes[i] -= min(a.Outcomes[i], earlier.Outcomes[i])
+		a.Warm[i] -= min(a.Warm[i], earlier.Warm[i])
 	}
 	for i := range a.Latency {
-		a.Latency[i] = f(a.Latency[i], b.Latency[i])
-		a.WarmLatency[i] = f(a.WarmLatency[i], b.WarmLatency[i])
-	}
-	if b.LastAt.After(a.LastAt) || (b.LastAt.Equal(a.LastAt) && b.LastID > a.LastID) {
-		a.LastAt, a.LastID = b.LastAt, b.LastID
+		a.Latency[i] -= min(a.Latency[i], earlier.Latency[i])
+		a.WarmLatency[i] -= min(a.WarmLatency[i], earlier.WarmLatency[i])
 	}
 	return a
 }
+
+// merge raises v to the field-wise maximum with o and returns whether anything changed.
+func (v *Values) merge(o *Values) bool {
+	if v.Outcomes == o.Outcomes && v.LastAt.Equal(o.LastAt) && *v == *o {
+		return false
+	}
+	before := *v
+	for i := range v.Outcomes {
+		v.Outcomes[i] = max(v.Outcomes[i], o.Outcomes[i])
+		v.Warm[i] = max(v.Warm[i], o.Warm[i])
+	}
+	for i := range v.Latency {
+		v.Latency[i] = max(v.Latency[i], o.Latency[i])
+		v.WarmLatency[i] = max(v.WarmLatency[i], o.WarmLatency[i])
+	}
+	v.last(o)
+	return before != *v
+}
+
+func (v *Values) add(o *Values) {
+	for i := range v.Outcomes {
+		v.Outcomes[i] += o.Outcomes[i]
+		v.Warm[i] += o.Warm[i]
+	}
+	for i := range v.Latency {
+		v.Latency[i] += o.Latency[i]
+		v.WarmLatency[i] += o.WarmLatency[i]
+	}
+	v.last(o)
+}
+
+func (v *Values) last(o *Values) {
+	if o.LastAt.After(v.LastAt) || (o.LastAt.Equal(v.LastAt) && o.LastID > v.LastID) {
+		v.LastAt, v.LastID = o.LastAt, o.LastID
+	}
+}
--- a/move/guard.go
+++ b/move/guard.go
@@ -112,10 +112,10 @@
 
 func (g *Guard) weigh(m *state.MoveStatus, w *watch, cells []count.Cell, now time.Time) {
 	w.test.Observe(now, w.window.Next(now, ofService(cells, m.Spec.Service), m.Spec.From, m.Spec.To))
-	v := w.test.Verdict(now)
-	if v.Kind != canary.Bad || g.facts.Halted(m.Name, m.Version) {
+	if !w.test.Bad() || g.facts.Halted(m.Name, m.Version) {
 		return
 	}
+	v := w.test.Verdict(now)
 	f := shunt.Fact{
 		Kind: shunt.FactStop, Move: m.Name, Version: m.Version,
 		Node: g.self.Control, Domain: g.self.Domain, Reason: v.Text(), At: now,
--- a/move/window.go
+++ b/move/window.go
@@ -13,7 +13,7 @@
 	// Window turns successive cumulative counters of a service into what happened between them. Its zero
 	// value has seen none.
 	Window struct {
-		last map[count.Key]count.Values
+		last map[count.Key]*count.Values
 		at   time.Time
 		load float64
 	}
@@ -30,7 +30,7 @@
 func (w *Window) Next(now time.Time, cells []count.Cell, from, to string) []canary.Sample {
 	begun := w.last != nil
 	if !begun {
-		w.last = make(map[count.Key]count.Values)
+		w.last = make(map[count.Key]*count.Values)
 	}
 	samples := make(map[stratum]*canary.Sample)
 	var busy float64
@@ -39,8 +39,16 @@
 		if c.Side != count.SideSent || (c.Version != from && c.Version != to) {
 			continue
 		}
-		growth := count.Sub(c.Values, w.last[c.Key])
-		w.last[c.Key] = count.Merge(w.last[c.Key], c.Values)
+		last := w.last[c.Key]
+		if last == nil {
+			last = &count.Values{}
+			w.last[c.Key] = last
+		}
+		if c.Outcomes == last.Outcomes {
+			continue
+		}
+		growth := count.Sub(c.Values, *last)
+		*last = count.Merge(*last, c.Values)
 		if !begun {
 			continue
 		}
--- /dev/null
+++ b/trial/compare_test.go
@@ -0,0 +1,36 @@
+package trial_test
+
+import (
+	"testing"
+
+	"tanagershunt.example/shunt/trial"
+)
+
+// TestSequentialAgainstAlternatives guards the false-alarm rate of the test in use, and the reasons for which
+// docs/verdict.md prefers it: the alternatives fail under common faults, repeated looks or an unknown rate.
+func TestSequentialAgainstAlternatives(t *testing.T) {
+	const runs = 400
+	alarms := make(map[string]map[string]float64)
+	for _, c := range trial.Compare(runs, 11) {
+		t.Logf("%-42s | %-30s | %5.3f | %s", c.Condition, c.Test, c.Alarms, c.Mean.Round(1e9))
+		if alarms[c.Test] == nil {
+			alarms[c.Test] = make(map[string]float64)
+		}
+		alarms[c.Test][c.Condition] = c.Alarms
+	}
+	for condition, rate := range alarms["sequential"] {
+		// Three standard deviations above 1% in 400 runs are 2.5%.
+		if condition[:4] == "good" && rate > 0.025 {
+			t.Errorf("%s: false alarms in %.3f of the runs, want at most 0.01", condition, rate)
+		}
+		if condition[:3] == "bad" && condition != "bad, 3 times the rate" && rate < 1 {
+			t.Errorf("%s: found in %.3f of the runs only", condition, rate)
+		}
+	}
+	if rate := alarms["two proportions, every window"]["good"]; rate < 0.025 {
+		t.Errorf("repeated looks alarm in %.3f of the runs; docs/verdict.md says that they exceed their rate", rate)
+	}
+	if rate := alarms["sprt with known rate"]["good, common failures for a minute"]; rate < 0.5 {
+		t.Errorf("the sprt alarms in %.3f of the runs; docs/verdict.md says that common failures mislead it", rate)
+	}
+}
