--- /dev/null
+++ b/move/control_test.go
@@ -0,0 +1,173 @@
+package move_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/mlog"
+	"tanagershunt.example/shunt/move"
+	"tanagershunt.example/shunt/state"
+)
+
+// TestControllersRace guards against two outcomes of one move when two members hold it, append answers are lost,
+// the log is down at times and both read the configuration late.
+func TestControllersRace(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			clock := clockwork.NewFakeClockAt(published)
+			fails := uint64(0)
+			if seed%2 == 1 {
+				fails = 3
+			}
+			warm := servers("v2", 5, published.Add(-time.Hour))
+			a, b := &fleet{self: "a", new: warm, fails: fails}, &fleet{self: "b", new: warm, fails: fails}
+			l, ledgers, controllers, _ := setUp(t, clock, 10*time.Minute, a, b)
+			ctx := context.Background()
+			for range 400 {
+				clock.Advance(move.ControlEvery)
+				l.SetFaults(mlog.Faults{Down: rng.IntN(10) == 0, LoseAnswers: rng.IntN(2), LoseAppends: rng.IntN(2)})
+				for _, i := range rng.Perm(2) {
+					if rng.IntN(3) > 0 {
+						_ = ledgers[i].Follow(ctx)
+					}
+					controllers[i].Tick(ctx)
+				}
+			}
+			l.SetFaults(mlog.Faults{})
+			for _, ledger := range ledgers {
+				if err := ledger.Follow(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+			one, other := ledgers[0].Status(), ledgers[1].Status()
+			if !reflect.DeepEqual(one, other) {
+				t.Fatalf("two outcomes: %+v and %+v", one, other)
+			}
+			want := state.PhaseCompleted
+			if fails > 0 {
+				want = state.PhaseRolledBack
+			}
+			if one.Phase != want {
+				t.Errorf("phase %s with %d failures in 30 calls: %s", one.Phase, fails, one.Reason)
+			}
+			appends, _ := l.Counts()
+			t.Logf("%s after %d steps with %d appends", one.Phase, len(one.Steps), appends)
+		})
+	}
+}
+
+// TestUnknownAppend guards against a second append before the first one of unknown outcome was read back.
+func TestUnknownAppend(t *testing.T) {
+	ctx := context.Background()
+	for _, faults := range []mlog.Faults{{LoseAnswers: 1}, {LoseAppends: 1}} {
+		clock := clockwork.NewFakeClockAt(published)
+		f := &fleet{self: "a", new: servers("v2", 5, published.Add(-time.Hour))}
+		l, ledgers, controllers, _ := setUp(t, clock, time.Hour, f)
+		tick := func() uint64 {
+			clock.Advance(move.ControlEvery)
+			controllers[0].Tick(ctx)
+			appends, _ := l.Counts()
+			return appends - 1
+		}
+		l.SetFaults(faults)
+		first := tick()
+		l.SetFaults(mlog.Faults{})
+		if first != uint64(faults.LoseAnswers) {
+			t.Fatalf("%+v: %d appends at first", faults, first)
+		}
+		if faults.LoseAnswers > 0 {
+			for range 3 {
+				if n := tick(); n != 1 {
+					t.Fatalf("%d appends before the first was read back", n)
+				}
+			}
+		}
+		if err := ledgers[0].Follow(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if n := tick(); n != 1 || len(ledgers[0].Status().Steps) > 1 {
+			t.Fatalf("%+v: %d appends in the end, want 1", faults, n)
+		}
+	}
+}
+
+// TestHaltWithoutLog guards the rollback of a bad version while the log is down, and its record afterwards.
+func TestHaltWithoutLog(t *testing.T) {
+	ctx := context.Background()
+	clock := clockwork.NewFakeClockAt(published)
+	f := &fleet{self: "a", new: servers("v2", 5, published.Add(-time.Hour)), fails: 10}
+	l, ledgers, controllers, facts := setUp(t, clock, time.Hour, f)
+	controllers[0].Tick(ctx)
+	if err := ledgers[0].Follow(ctx); err != nil {
+		t.Fatal(err)
+	}
+	l.SetFaults(mlog.Faults{Down: true})
+	for range 10 {
+		clock.Advance(move.ControlEvery)
+		controllers[0].Tick(ctx)
+	}
+	if !facts[0].HaltedEverywhere("m", 1) || !strings.Contains(facts[0].List()[0].Reason, "evidence") {
+		t.Fatalf("no halt fact with evidence while the log is down: %v", facts[0].List())
+	}
+	l.SetFaults(mlog.Faults{})
+	clock.Advance(move.ControlEvery)
+	controllers[0].Tick(ctx)
+	if err := ledgers[0].Follow(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if s := ledgers[0].Status(); s.Phase != state.PhaseRolledBack || s.Evidence == "" {
+		t.Fatalf("phase %s with evidence %q after the outage", s.Phase, s.Evidence)
+	}
+}
+
+// TestLateHaltKeepsCompletion guards a completed move against a controller that has not read the completion and
+// halts for lack of time, which within the hold period would take the move back.
+func TestLateHaltKeepsCompletion(t *testing.T) {
+	ctx := context.Background()
+	clock := clockwork.NewFakeClockAt(published)
+	f := &fleet{self: "a", new: servers("v2", 5, published.Add(-time.Hour))}
+	l, ledgers, controllers, _ := setUp(t, clock, 10*time.Minute, f)
+	write := func(kind string, body any) {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := json.Marshal(state.Record{Schema: 1, Kind: kind, At: clock.Now(), Body: raw})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := l.Append(ctx, shunt.StreamConfig, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, share := range []float64{0.01, 0.05, 0.25, 0.5, 1} {
+		clock.Advance(time.Minute)
+		write(state.KindStep, state.Step{Move: "m", Version: 1, Number: i + 1, Share: share})
+	}
+	if err := ledgers[0].Follow(ctx); err != nil {
+		t.Fatal(err)
+	}
+	clock.Advance(time.Minute)
+	write(state.KindComplete, state.Complete{Move: "m", Version: 1})
+	clock.Advance(5 * time.Minute)
+	for range 3 {
+		controllers[0].Tick(ctx)
+		clock.Advance(move.ControlEvery)
+	}
+	if err := ledgers[0].Follow(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if s := ledgers[0].Status(); s.Phase != state.PhaseCompleted {
+		t.Fatalf("phase %s: %s", s.Phase, s.Reason)
+	}
+}
--- /dev/null
+++ b/move/fake_test.go
@@ -0,0 +1,114 @@
+package move_test
+
+import (
+	"context"
+	"flag"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+	"tanagershunt.example/shunt/count"
+	"tanagershunt.example/shunt/mlog"
+	"tanagershunt.example/shunt/move"
+	"tanagershunt.example/shunt/trial"
+)
+
+var published = time.Date(2025, 3, 1, 9, 0, 0, 0, time.UTC)
+
+// fleet is a service with healthy counters that grow by a fixed amount per second.
+type fleet struct {
+	clock    clockwork.Clock
+	self     string
+	new      []shunt.Member
+	fails    uint64 // failures of the new version per second of 30 calls
+	mu       sync.Mutex
+	problems error
+}
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func servers(version string, n int, since time.Time) []shunt.Member {
+	list := make([]shunt.Member, n)
+	for i := range list {
+		list[i] = shunt.Member{Service: "s", Version: version, Slots: 10, Ready: true, ReadySince: since}
+	}
+	return list
+}
+
+func spec(deadline time.Duration) conf.Move {
+	return conf.Move{
+		Service:  "s",
+		From:     "v1",
+		To:       "v2",
+		Deadline: published.Add(deadline),
+		Hold:     conf.Duration(10 * time.Minute),
+	}
+}
+
+func (f *fleet) Servers(_, version string) []shunt.Member {
+	if version == "v1" {
+		return servers("v1", 5, published.Add(-time.Hour))
+	}
+	return f.new
+}
+
+func (f *fleet) Holders(string, string, int) []shunt.Member { return []shunt.Member{f.Self()} }
+func (f *fleet) Lookup(string) (shunt.Member, bool)         { return shunt.Member{}, false }
+func (f *fleet) Domains() []string                          { return []string{"d"} }
+
+func (f *fleet) Self() shunt.Member { return shunt.Member{Control: f.self, Domain: "d-" + f.self} }
+
+func (f *fleet) Merged(context.Context, string) (count.Merged, []string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	passed := uint64(f.clock.Now().Sub(published) / time.Second)
+	cell := func(version string, calls, failed uint64) count.Cell {
+		o := count.Outcomes{passed * (calls - failed), passed * failed, 0, 0}
+		h := count.Hist{10: passed * calls}
+		return count.Cell{
+			Key:    count.Key{Side: count.SideSent, Service: "s", Route: "r", Version: version, Domain: "d"},
+			Values: count.Values{Outcomes: o, Warm: o, Latency: h, WarmLatency: h},
+		}
+	}
+	return count.Merged{Cells: []count.Cell{cell("v1", 100, 0), cell("v2", 30, f.fails)}}, nil, f.problems
+}
+
+// setUp returns a log with a published move, its ledger and a controller per fleet.
+func setUp(t *testing.T, clock *clockwork.FakeClock, deadline time.Duration, fleets ...*fleet) (
+	*mlog.Log, []*trial.Ledger, []*move.Controller, []*move.Facts,
+) {
+	t.Helper()
+	l := mlog.New(clock, mlog.Limits{})
+	version, err := l.Append(context.Background(), shunt.StreamConfig, []byte("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ledgers []*trial.Ledger
+	var controllers []*move.Controller
+	var facts []*move.Facts
+	for _, f := range fleets {
+		f.clock = clock
+		ledger := trial.NewLedger(l, "m", version, spec(deadline), published)
+		set := move.NewFacts(f.Self())
+		ledgers, facts = append(ledgers, ledger), append(facts, set)
+		controllers = append(controllers, move.NewController(move.Options{
+			Log: l, Clock: clock, Directory: f, States: ledger, Counters: f, Facts: set,
+		}))
+	}
+	return l, ledgers, controllers, facts
+}
