Join nodes that know each other only in part

Twelve nodes that started at once took up to 13 s to know one another: two nodes that each took the other for a reader linked only with each other. Probe answers now carry a digest of the failure domain, and entries are fetched from a member whose digest stays different for 2 s.

--- a/member/detector.go
+++ b/member/detector.go
@@ -26,6 +26,10 @@
 	// LoneSuspicionTime replaces SuspicionTime when no helper answered: the cause is then as likely this
 	// node's own network, and others can only refute once it works again.
 	LoneSuspicionTime = 5 * SuspicionTime
+	// DifferTime is how long probed members must have other entries before they are fetched: changes on
+	// their way make tables differ for a moment. Comparing with members probed in turn joins groups that
+	// know each other only in part, such as many nodes that started at the same time.
+	DifferTime = 2 * time.Second
 	// indirectProbes is the number of members asked to probe one that did not answer.
 	indirectProbes = 3
 	// reviveEvery is the number of rounds between probes of members declared dead. Without them, the halves
@@ -52,6 +56,7 @@
 		suspected map[string]suspicion
 		domains   domains
 		pauses    int
+		differ    time.Time // since when probed members have other entries of the failure domain
 	}
 
 	suspicion struct {
@@ -159,8 +164,9 @@
 		return
 	}
 	start := d.clock.Now()
-	if m, answered := d.ping(ctx, target); answered {
-		d.table.Merge(m)
+	if reply, answered := d.ping(ctx, target); answered {
+		d.table.Merge(reply.Member)
+		d.compare(reply)
 		return
 	}
 	m, reached, asked := d.indirect(ctx, target)
@@ -216,8 +222,8 @@
 	if !ok {
 		return
 	}
-	if m, answered := d.ping(ctx, target); answered {
-		d.table.Merge(m)
+	if reply, answered := d.ping(ctx, target); answered {
+		d.table.Merge(reply.Member)
 	}
 }
 
@@ -237,17 +243,34 @@
 	return controls
 }
 
-func (d *Detector) ping(ctx context.Context, target shunt.Member) (shunt.Member, bool) {
+func (d *Detector) ping(ctx context.Context, target shunt.Member) (PingReply, bool) {
 	ctx, cancel := clockwork.WithTimeout(ctx, d.clock, PingTimeout)
 	defer cancel()
 	sent := d.clock.Now()
 	reply, err := d.transport.Ping(ctx, target.Control, PingArgs{From: d.table.Self(), View: target})
 	if err != nil || reply.Member.Control != target.Control {
-		return shunt.Member{}, false
+		return PingReply{}, false
 	}
 	d.clocks.add(sent, d.clock.Now(), reply.Time)
 	d.table.Merge(reply.View) // refutes what the other node wrongly believes of this one
-	return reply.Member, true
+	return reply, true
+}
+
+// compare tells when the tables of probed members stay different from this one.
+func (d *Detector) compare(reply PingReply) {
+	now := d.clock.Now()
+	switch {
+	case reply.Digest == d.table.Digest(d.table.Self().Domain):
+		d.differ = time.Time{}
+	case d.differ.IsZero():
+		d.differ = now
+	case now.Sub(d.differ) >= DifferTime:
+		d.differ = time.Time{}
+		select {
+		case d.table.differing <- reply.Member.Control:
+		default:
+		}
+	}
 }
 
 // indirect asks other members to probe the target. Asked reports whether at least one of them answered.
--- a/member/domains.go
+++ b/member/domains.go
@@ -101,8 +101,8 @@
 	if len(readers) == 0 {
 		return false
 	}
-	if m, ok := d.ping(ctx, readers[0]); ok {
-		d.table.Merge(m)
+	if reply, ok := d.ping(ctx, readers[0]); ok {
+		d.table.Merge(reply.Member)
 		return true
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, d.clock, PingTimeout)
--- a/member/probe.go
+++ b/member/probe.go
@@ -25,6 +25,7 @@
 	PingReply struct {
 		Member shunt.Member // the answering member's entry
 		View   shunt.Member // what it believes of the asker
+		Digest uint64       // its digest of its failure domain
 		Time   time.Time    // its clock
 	}
 
@@ -72,6 +73,7 @@
 	p.table.Merge(args.From, args.View)
 	reply.Member = p.table.Self()
 	reply.View, _ = p.table.Lookup(args.From.Control)
+	reply.Digest = p.table.Digest(reply.Member.Domain)
 	reply.Time = p.clock.Now()
 	return nil
 }
--- a/member/table.go
+++ b/member/table.go
@@ -42,6 +42,7 @@
 		local       map[string]struct{}
 		words       map[string]string
 		changed     chan struct{}
+		differing   chan string
 
 		index atomic.Pointer[index]
 	}
@@ -89,6 +90,7 @@
 		local:       make(map[string]struct{}),
 		words:       make(map[string]string),
 		changed:     make(chan struct{}),
+		differing:   make(chan string, 1),
 	}
 	t.index.Store(&index{})
 	ch := newTouched()
@@ -180,6 +182,10 @@
 	return t.changed
 }
 
+// Differing returns a channel that receives the control address of a member of the own failure domain whose
+// table has had other entries for it for DifferTime. They should be fetched from there.
+func (t *Table) Differing() <-chan string { return t.differing }
+
 // Expire removes dead members whose time is over. The detector calls it.
 func (t *Table) Expire() {
 	t.mu.Lock()
--- a/relay/child.go
+++ b/relay/child.go
@@ -20,7 +20,8 @@
 
 // poll follows a parent until the context ends.
 func (h *Hub) poll(ctx context.Context) {
-	h.up.add(h.table.Self())
+	// A node that was a reader passed nothing up, so all it knows of its failure domain is reported once.
+	h.up.add(h.domainEntries()...)
 	failures := 0
 	for ctx.Err() == nil {
 		parent, err := h.pickParent(h.roleOf())
--- a/relay/fault_test.go
+++ b/relay/fault_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/member"
 	"tanagershunt.example/shunt/mlog"
 	"tanagershunt.example/shunt/state"
 )
@@ -84,7 +85,8 @@
 		}
 		for d, want := range m.nodes["a0"].hub.table.Digests() {
 			if h.table.Digest(d) != want {
-				o.fault("%s has other members of %q than a0", a, d)
+				o.fault("%s has other members of %q than a0: %+v %+v", a, d, h.table.Since(member.Query{Domain: d}),
+					m.nodes["a0"].hub.table.Since(member.Query{Domain: d}))
 			}
 		}
 	}
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -144,6 +144,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { h.learnFloor(ctx) })
 	wg.Go(func() { h.report(ctx) })
+	wg.Go(func() { h.level(ctx) })
 	wg.Go(func() {
 		h.join(ctx)
 		wg.Go(func() { h.rejoin(ctx) })
--- a/relay/seed.go
+++ b/relay/seed.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/member"
 )
@@ -133,6 +135,20 @@
 	return h.call(ctx, seed, purposeReport, "Report", 0, args, &ReportReply{})
 }
 
+// level fetches the entries of the own failure domain from members whose tables differ.
+func (h *Hub) level(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case control := <-h.table.Differing():
+			if err := h.copyMembers(ctx, control, h.self.Domain); err != nil {
+				log.WithFields(log.Fields{"member": control, "error": err.Error()}).Debug("entries not fetched")
+			}
+		}
+	}
+}
+
 func (h *Hub) copyMembers(ctx context.Context, seed, domain string) error {
 	c := &cursors{}
 	for !c.caughtUp {
