--- a/member/table.go
+++ b/member/table.go
@@ -123,6 +123,19 @@
 	return merged
 }
 
+// Overrides returns this table's entries that override the given ones.
+func (t *Table) Overrides(members ...shunt.Member) []shunt.Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var list []shunt.Member
+	for _, m := range members {
+		if e := t.entries[m.Control]; e != nil && e.Newer(m) {
+			list = append(list, e.Member)
+		}
+	}
+	return list
+}
+
 // Update changes the process's own entry, raises its sequence and returns it. Control address and
 // incarnation cannot be changed. A member that is leaving stays so.
 func (t *Table) Update(change func(*shunt.Member)) shunt.Member {
--- a/relay/child.go
+++ b/relay/child.go
@@ -12,7 +12,7 @@
 
 const (
 	// differTime is how long the digests of the own failure domain may differ from the parent's before all
-	// its entries are reported: what a former parent took and lost with its process is sent again.
+	// its entries are exchanged: what a former parent took and lost with its process is sent again.
 	differTime = 10 * time.Second
 	// repairPause bounds how often a node whose hash differs from its parent's fetches a snapshot.
 	repairPause = 5 * time.Second
@@ -64,7 +64,9 @@
 	} else {
 		h.trust(parent)
 	}
-	h.compare(c, &reply)
+	if h.differs(c, args, &reply) {
+		h.up.add(h.domainEntries()...)
+	}
 	return nil
 }
 
@@ -138,19 +140,21 @@
 	}
 }
 
-// compare reports the whole own failure domain when the parent's digest of it stays different.
-func (h *Hub) compare(c *cursors, reply *FetchReply) {
+// differs reports whether the other node's digest has been different for differTime. The entries are then
+// fetched from the beginning.
+func (h *Hub) differs(c *cursors, args FetchArgs, reply *FetchReply) bool {
 	now := h.clock.Now()
 	switch {
-	case reply.More || reply.Digest == h.table.Digest(h.self.Domain):
+	case reply.More || reply.Digest == h.table.Digest(args.compared()):
 		c.differ = time.Time{}
 	case c.differ.IsZero():
 		c.differ = now
 	case now.Sub(c.differ) >= differTime:
 		c.differ = time.Time{}
-		c.members, c.caughtUp = member.Cursor{}, false // and what this node lacks is sent again
-		h.up.add(h.domainEntries()...)
+		c.members, c.caughtUp = member.Cursor{}, false
+		return true
 	}
+	return false
 }
 
 func (h *Hub) domainEntries() []shunt.Member {
--- a/relay/fault_test.go
+++ b/relay/fault_test.go
@@ -10,7 +10,6 @@
 	"pgregory.net/rapid"
 
 	"tanagershunt.example/shunt"
-	"tanagershunt.example/shunt/member"
 	"tanagershunt.example/shunt/mlog"
 	"tanagershunt.example/shunt/state"
 )
@@ -85,8 +84,13 @@
 		}
 		for d, want := range m.nodes["a0"].hub.table.Digests() {
 			if h.table.Digest(d) != want {
-				o.fault("%s has other members of %q than a0: %+v %+v", a, d, h.table.Since(member.Query{Domain: d}),
-					m.nodes["a0"].hub.table.Since(member.Query{Domain: d}))
+				o.fault(
+					"%s has other members of %q than a0: %s, not %s",
+					a,
+					d,
+					h.members(d),
+					m.nodes["a0"].hub.members(d),
+				)
 			}
 		}
 	}
@@ -203,7 +207,7 @@
 }
 
 func (o *oracle) fault(format string, args ...any) {
-	if len(o.faults) < 3 {
+	if len(o.faults) < 10 {
 		o.faults = append(o.faults, fmt.Sprintf(format, args...))
 	}
 }
--- a/relay/link.go
+++ b/relay/link.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/member"
 )
 
@@ -190,6 +191,10 @@
 	// A reader observes the other failure domains itself and takes over no other's view.
 	c.lost, reply.Lost = reply.Lost, args.Lost
 	h.take(c, args, &reply)
+	h.differs(c, args, &reply)
+	if err := l.pushBack(ctx, peer, reply.Members); err != nil {
+		return err
+	}
 	if !args.NoRecords {
 		if reply.TooOld {
 			return h.fetchSnapshot(ctx, peer)
@@ -207,6 +212,17 @@
 	return h.verify(ctx)
 }
 
+// pushBack reports entries that override those just received. The other failure domain may have lost them
+// with its processes: without this, a member that only this side holds for dead would never learn of it.
+func (l *link) pushBack(ctx context.Context, peer string, got []shunt.Member) error {
+	list := l.hub.table.Overrides(got...)
+	if len(list) == 0 {
+		return nil
+	}
+	args := ReportArgs{From: l.hub.self.Control, Incarnation: l.hub.self.Incarnation, Members: list}
+	return l.hub.call(ctx, peer, purposeReport, "Report", 0, args, &ReportReply{})
+}
+
 // maintain does the periodic duties of readers.
 func (h *Hub) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/relay/mesh_test.go
+++ b/relay/mesh_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -279,3 +280,13 @@
 }
 
 func newReply(like any) any { return reflect.New(reflect.TypeOf(like).Elem()).Interface() }
+
+// members describes the entries of a failure domain.
+func (h *Hub) members(domain string) string {
+	var list []string
+	for _, x := range h.table.Since(member.Query{Domain: domain}).Members {
+		list = append(list, fmt.Sprintf("%s/%d/%d/%s", x.Control, x.Incarnation%1e12/1e6, x.Sequence, x.Status))
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
--- a/relay/message.go
+++ b/relay/message.go
@@ -55,7 +55,7 @@
 		Members     []shunt.Member
 		Next        member.Cursor
 		More        bool   // more members follow
-		Digest      uint64 // parent's digest of the child's failure domain
+		Digest      uint64 // parent's digest of the failure domain that FetchArgs.compared returns
 		Facts       []shunt.Fact
 		FactCursor  FactCursor
 		Unreachable []string // failure domains that cannot be reached, with Lost other than the child's
@@ -131,3 +131,11 @@
 		Missing []string // control addresses of live members not known to be in force
 	}
 )
+
+// compared returns the failure domain whose digests the two nodes compare: the one asked for, else the child's.
+func (a FetchArgs) compared() string {
+	if a.Only != "" {
+		return a.Only
+	}
+	return a.Domain
+}
--- a/relay/service.go
+++ b/relay/service.go
@@ -131,7 +131,7 @@
 func (h *Hub) answer(args FetchArgs, reply *FetchReply) error {
 	d := h.table.Since(query(args, maxMembers))
 	reply.Members, reply.Next, reply.More = d.Members, d.Next, d.More
-	reply.Digest = h.table.Digest(args.Domain)
+	reply.Digest = h.table.Digest(args.compared())
 	reply.Facts, reply.FactCursor = h.facts.since(args.Facts)
 	if reply.Lost = h.lost(); reply.Lost != args.Lost {
 		reply.Unreachable = h.table.Unreachable()
