--- a/peer/codec.go
+++ b/peer/codec.go
@@ -9,6 +9,7 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/rpc"
 	"strings"
@@ -55,8 +56,8 @@
 		limit int
 
 		in      *bufio.Reader
-		left    int // unread bytes of the current frame
-		size    int // size of the current frame
+		frame   bytes.Buffer // unread part of the current frame
+		size    int          // size of the current frame
 		dec     *gob.Decoder
 		hdr     header
 		gotLast atomic.Int64 // time of the last byte received, in nanoseconds since the epoch
@@ -67,7 +68,10 @@
 	}
 )
 
-var errTruncatedFrame = errors.New("message is longer than its frame")
+var (
+	errTruncatedFrame = errors.New("message is longer than its frame")
+	errIdle           = errors.New("connection is idle")
+)
 
 func (e *SchemaError) Error() string { return e.Text }
 
@@ -77,72 +81,76 @@
 
 func newWire(conn net.Conn, limit int) *wire {
 	w := &wire{conn: conn, limit: limit, in: bufio.NewReader(conn)}
-	w.dec = gob.NewDecoder(w)
+	w.dec = gob.NewDecoder(&w.frame)
 	w.enc = gob.NewEncoder(&w.out)
 	return w
 }
 
-// Read implements io.Reader for the gob decoder within the current frame.
-func (w *wire) Read(p []byte) (int, error) {
-	if w.left == 0 {
-		return 0, errTruncatedFrame
-	}
-	n, err := w.in.Read(p[:min(len(p), w.left)])
-	w.left -= n
-	return n, err
-}
-
-// ReadByte implements io.ByteReader, without which the decoder would read ahead over the end of the frame.
-func (w *wire) ReadByte() (byte, error) {
-	if w.left == 0 {
-		return 0, errTruncatedFrame
-	}
-	b, err := w.in.ReadByte()
-	if err == nil {
-		w.left--
-	}
-	return b, err
-}
-
-// next starts the next frame and decodes its header. Before the first byte arrives it returns io.EOF when
-// the connection ends.
+// next reads the next frame, checks it and decodes its header. It returns errIdle when the read deadline passes
+// before the frame begins.
 func (w *wire) next() error {
-	if err := w.skip(); err != nil {
-		return err
-	}
 	// Peek consumes nothing when a deadline passes in the middle of the length.
-	size, err := w.in.Peek(frameHeader)
+	length, err := w.in.Peek(frameHeader)
+	if isTimeout(err) {
+		return errIdle
+	}
 	if err != nil {
 		return err
 	}
-	n := binary.BigEndian.Uint32(size)
+	n := binary.BigEndian.Uint32(length)
+	if uint64(n) > uint64(w.limit) {
+		return &SizeError{Size: int(n), Limit: w.limit}
+	}
 	if _, err = w.in.Discard(frameHeader); err != nil {
 		return err
 	}
-	if uint64(n) > uint64(w.limit) {
-		return &SizeError{Size: int(n), Limit: w.limit}
+	if w.frame.Cap() > bufferKept {
+		w.frame = bytes.Buffer{}
 	}
-	w.left, w.size = int(n), int(n)+frameHeader
+	w.frame.Reset()
+	if _, err = io.CopyN(&w.frame, w.in, int64(n)); err != nil {
+		return err
+	}
+	w.size = int(n) + frameHeader
 	w.gotLast.Store(time.Now().UnixNano())
+	if err = checkGob(w.frame.Bytes()); err != nil {
+		return err
+	}
 	w.hdr = header{}
 	return w.dec.Decode(&w.hdr)
 }
 
 // body decodes the body of the current frame; a nil target skips it. The type descriptions in a skipped body
 // must still be read, hence the decoding into nothing.
-func (w *wire) body(target any) error {
-	if err := w.dec.Decode(target); err != nil {
-		return err
-	}
-	w.gotLast.Store(time.Now().UnixNano())
-	return w.skip()
+func (w *wire) body(target any) error { return w.dec.Decode(target) }
+
+// checkGob checks that the gob messages of a frame end with it. The decoder believes a message's length, up to
+// 1 GB, and takes 10 MB at once before it reads the first byte.
+func checkGob(data []byte) error {
+	for len(data) > 0 {
+		n, size := gobUint(data)
+		if size == 0 || n > uint64(len(data)-size) {
+			return errTruncatedFrame
+		}
+		data = data[uint64(size)+n:]
+	}
+	return nil
 }
 
-// skip drops what is left of a frame.
-func (w *wire) skip() error {
-	n, err := w.in.Discard(w.left)
-	w.left -= n
-	return err
+// gobUint reads an unsigned integer in gob's encoding (package encoding/gob, "Encoding Details"): below 128 one
+// byte, else the negated count of the big-endian bytes that follow. Size 0 means that it is not valid.
+func gobUint(data []byte) (n uint64, size int) {
+	if data[0] < 0x80 {
+		return uint64(data[0]), 1
+	}
+	count := -int(int8(data[0]))
+	if count > 8 || len(data) < 1+count {
+		return 0, 0
+	}
+	for _, b := range data[1 : 1+count] {
+		n = n<<8 | uint64(b)
+	}
+	return n, 1 + count
 }
 
 // write sends one frame and returns its size. A message above the limit is not sent; its type descriptions
--- a/peer/server.go
+++ b/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -170,8 +171,8 @@
 		return err
 	}
 	err := c.next()
-	for isTimeout(err) && c.left == 0 && c.running() {
-		// Calls still run, so the connection is not idle: nothing of a frame was read yet.
+	for errors.Is(err, errIdle) && c.running() {
+		// Calls still run, so the connection is in use.
 		if err = c.conn.SetReadDeadline(c.idleDeadline()); err == nil {
 			err = c.next()
 		}
