Confirm to a new parent, and exactly

Cause: 'in force on 11 of 12' stayed for 20 s in 2 of 2 starts of 12 nodes in 3 failure domains. A node that changed its parent after it had confirmed told the new one nothing, and a former reader went on listing children that had left it at an old offset, which pulled the median of a relay's group down to that offset. Ruled out: nodes that do not serve (all dumps showed offset 1 and serving), lost fetches (parents listed the children). Conclusion: read-back no longer depends on the order of role changes.

--- a/bench/load.go
+++ b/bench/load.go
@@ -24,6 +24,7 @@
 		rate    float64  // requests a second
 		seed    uint64
 		timeout time.Duration
+		rise    time.Duration // time over which the rate rises to its full value
 	}
 
 	// service is what callers got.
@@ -50,12 +51,20 @@
 		time.Sleep(time.Until(intended))
 		url := l.urls[random.IntN(len(l.urls))]
 		wg.Go(func() { s.add(intended.Sub(start), l.send(ctx, url), time.Since(intended)) })
-		at += time.Duration(random.ExpFloat64() / l.rate * float64(time.Second))
+		at += time.Duration(random.ExpFloat64() / l.rateAt(at) * float64(time.Second))
 	}
 	wg.Wait()
 	return s
 }
 
+// rateAt returns the rate at a time since the start, at least a twentieth of the full one.
+func (l *load) rateAt(at time.Duration) float64 {
+	if at >= l.rise {
+		return l.rate
+	}
+	return l.rate * max(0.05, float64(at)/float64(l.rise))
+}
+
 // send makes one request and reports whether it was answered in full with a success.
 func (l *load) send(ctx context.Context, url string) bool {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
--- a/relay/confirm.go
+++ b/relay/confirm.go
@@ -14,7 +14,7 @@
 
 const (
 	// childTime is how long a child that does not poll any more stays in the group.
-	childTime = 30 * time.Second
+	childTime = 2*FetchWait + CallGrace
 	// confirmDelay is how long a relay waits for its last children before it confirms for the others.
 	confirmDelay = time.Second
 	// maxGroup bounds the nodes of a group that a child reports.
@@ -64,12 +64,6 @@
 	old, ok := c.children[args.From]
 	node := Node{Control: args.From, Incarnation: args.Incarnation}
 	c.children[args.From] = child{node: node, offset: args.InForce, seen: now}
-	for control, x := range c.children {
-		if now.Sub(x.seen) > childTime {
-			delete(c.children, control)
-			delete(c.groups, control)
-		}
-	}
 	return !ok || old.node != node || old.offset != args.InForce
 }
 
@@ -85,8 +79,8 @@
 	if g == nil || g.id != x.Group {
 		return false
 	}
-	g.offsets = slices.Repeat([]shunt.Offset{x.Min}, len(g.nodes))
-	for _, s := range x.Stragglers {
+	g.offsets = slices.Repeat([]shunt.Offset{x.Common}, len(g.nodes))
+	for _, s := range x.Others {
 		if s.Index >= 0 && s.Index < len(g.offsets) {
 			g.offsets[s.Index] = s.Offset
 		}
@@ -95,18 +89,21 @@
 }
 
 // known returns the offsets from which the nodes below this one serve.
-func (c *confirms) known() map[Node]shunt.Offset {
+func (c *confirms) known(now time.Time) map[Node]shunt.Offset {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.collect()
+	return c.collect(now)
 }
 
 // next returns the confirmation to send to the parent, or nil when there is nothing new or the last children
 // may still follow. Retry is then the time after which to ask again, if any.
-func (c *confirms) next(now time.Time) (x *Confirm, retry time.Duration) {
+func (c *confirms) next(parent string, now time.Time) (x *Confirm, retry time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.collect()
+	if parent != c.told.parent {
+		c.told = told{parent: parent}
+	}
+	known := c.collect(now)
 	if len(known) == 0 {
 		return nil, 0
 	}
@@ -155,7 +152,14 @@
 	c.told = told{}
 }
 
-func (c *confirms) collect() map[Node]shunt.Offset {
+// collect drops children that went elsewhere, also those of a node that was a reader and has none any more.
+func (c *confirms) collect(now time.Time) map[Node]shunt.Offset {
+	for control, x := range c.children {
+		if now.Sub(x.seen) > childTime {
+			delete(c.children, control)
+			delete(c.groups, control)
+		}
+	}
 	known := make(map[Node]shunt.Offset, len(c.children))
 	for _, x := range c.children {
 		known[x.node] = max(known[x.node], x.offset)
@@ -168,27 +172,28 @@
 	return known
 }
 
-// aggregate expresses offsets as the median, which most nodes share, and the nodes below it. Complete means
-// that all nodes are at the newest offset.
+// aggregate expresses offsets as the one that most nodes share, and the nodes at another. Complete means that
+// all nodes are at the same offset.
 func aggregate(known map[Node]shunt.Offset) (x *Confirm, complete bool) {
 	x = &Confirm{Nodes: make([]Node, 0, len(known))}
-	offsets := make([]shunt.Offset, 0, len(known))
+	shared := make(map[shunt.Offset]int)
 	for n, o := range known {
 		x.Nodes = append(x.Nodes, n)
-		offsets = append(offsets, o)
+		shared[o]++
+		if most := shared[x.Common]; shared[o] > most || shared[o] == most && o > x.Common {
+			x.Common = o
+		}
 	}
 	slices.SortFunc(x.Nodes, func(a, b Node) int {
 		return cmp.Or(cmp.Compare(a.Control, b.Control), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	slices.Sort(offsets)
-	x.Min = offsets[len(offsets)/2]
 	for i, n := range x.Nodes {
-		if o := known[n]; o < x.Min {
-			x.Stragglers = append(x.Stragglers, Straggler{Index: i, Offset: o})
+		if o := known[n]; o != x.Common {
+			x.Others = append(x.Others, Other{Index: i, Offset: o})
 		}
 	}
 	x.Group = groupID(x.Nodes)
-	return x, offsets[0] == offsets[len(offsets)-1]
+	return x, len(x.Others) == 0
 }
 
 func groupID(nodes []Node) uint64 {
@@ -203,8 +208,8 @@
 // digest identifies what a confirmation says.
 func (x *Confirm) digest() uint64 {
 	b := binary.LittleEndian.AppendUint64(nil, x.Group)
-	b = binary.LittleEndian.AppendUint64(b, uint64(x.Min))
-	for _, s := range x.Stragglers {
+	b = binary.LittleEndian.AppendUint64(b, uint64(x.Common))
+	for _, s := range x.Others {
 		b = binary.LittleEndian.AppendUint64(b, uint64(s.Index))
 		b = binary.LittleEndian.AppendUint64(b, uint64(s.Offset))
 	}
--- a/relay/message.go
+++ b/relay/message.go
@@ -78,10 +78,10 @@
 
 	// Confirm says for all nodes below a child which offset they serve from.
 	Confirm struct {
-		Group      uint64 // identifies the list of nodes
-		Nodes      []Node // the list, sent when it is new to the parent
-		Min        shunt.Offset
-		Stragglers []Straggler // nodes below Min
+		Group  uint64       // identifies the list of nodes
+		Nodes  []Node       // the list, sent when it is new to the parent
+		Common shunt.Offset // of the nodes that are not in Others
+		Others []Other
 	}
 
 	// Node is one process of a member.
@@ -90,8 +90,8 @@
 		Incarnation uint64
 	}
 
-	// Straggler is a node of a group that is behind the others.
-	Straggler struct {
+	// Other is a node of a group whose offset is not the common one.
+	Other struct {
 		Index  int // in the group's list
 		Offset shunt.Offset
 	}
--- a/relay/parent.go
+++ b/relay/parent.go
@@ -93,7 +93,10 @@
 			best = c
 		}
 	}
-	h.parent = best
+	if h.parent != best {
+		h.parent = best
+		h.up.notify() // a new parent has to learn what the former one was told
+	}
 	return best, nil
 }
 
--- a/relay/queue.go
+++ b/relay/queue.go
@@ -132,7 +132,7 @@
 		}
 	}
 	var retry time.Duration
-	if args.Confirm, retry = h.confirm.next(h.clock.Now()); retry > 0 {
+	if args.Confirm, retry = h.confirm.next(parent, h.clock.Now()); retry > 0 {
 		h.clock.AfterFunc(retry, h.up.notify)
 	}
 	if len(args.Members) == 0 && len(args.Facts) == 0 && args.Confirm == nil {
--- a/relay/service.go
+++ b/relay/service.go
@@ -83,7 +83,7 @@
 // knows from the nodes below it.
 func (r *Relay) InForce(args InForceArgs, reply *InForceReply) error {
 	h := r.hub
-	known := h.confirm.known()
+	known := h.confirm.known(h.clock.Now())
 	if s, err := h.Serving(); err == nil {
 		known[Node{Control: h.self.Control, Incarnation: h.self.Incarnation}] = s.Offset()
 	}
--- a/relay/status.go
+++ b/relay/status.go
@@ -31,7 +31,7 @@
 func (h *Hub) Status() Status {
 	_, err := h.Serving()
 	st := Status{
-		Members: h.table.Len(), Children: len(h.confirm.known()), Facts: len(h.List()),
+		Members: h.table.Len(), Children: len(h.confirm.known(h.clock.Now())), Facts: len(h.List()),
 		Unreachable: h.table.Unreachable(),
 	}
 	if err != nil {
--- a/stub/server.go
+++ b/stub/server.go
@@ -22,6 +22,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// overloadFactor is how much longer a request takes when the server runs more than it bears.
 	overloadFactor = 8
+	// collapseFactor is how many times the load that it bears a server runs before it fails requests.
+	collapseFactor = 3
 )
 
 type (
@@ -179,11 +181,12 @@
 	if affected && b.SlowBy > 0 {
 		latency = time.Duration(float64(latency) * b.SlowBy)
 	}
+	fails := affected && b.FailShare > 0 && s.random() < b.FailShare
 	if bears := b.bears(s.warmth); bears > 0 && s.running > bears {
 		s.totals.Overloaded++
 		latency *= overloadFactor
+		fails = fails || s.running > collapseFactor*bears
 	}
-	fails := affected && b.FailShare > 0 && s.random() < b.FailShare
 	if fails {
 		s.totals.Failed++
 	}
