Make the confirmation test fail when a new parent is not told

Change: the test tells the former parent until nothing is left to tell. Before: passed with the reset disabled. After: fails with the reset disabled ('relay sent nothing to its new parent') and with one-sided exceptions ('offset of leaf is 0, want 1'); passes with both. Conclusion: the fix itself is unchanged.

--- a/relay/confirm_test.go
+++ b/relay/confirm_test.go
@@ -40,7 +40,11 @@
 	if !send(&leaf, "leaf", "relay", &relay) {
 		t.Fatal("leaf sent nothing")
 	}
-	send(&relay, "relay", "former", &confirms{children: map[string]child{}, groups: map[string]*group{}})
+	var former confirms
+	former.init()
+	for send(&relay, "relay", "former", &former) {
+		t.Log("former parent was told")
+	}
 	if !send(&relay, "relay", "reader", &reader) {
 		t.Fatal("relay sent nothing to its new parent")
 	}
