Prove the server selection and spill without smoothing

Cause: failures of requests sent before an ejection counted towards the next one; a small rest of an old refusal kept an idle server from being picked; smoothing the spill over 1 s widened the load's swing. Change: failures during an ejection don't count, rests below 0.1 requests count as none, the spill share follows the load at once.

--- a/picker/choose.go
+++ b/picker/choose.go
@@ -12,8 +12,8 @@
 func (t *Table) usable(members []shunt.Member, now time.Time) []candidate {
 	list := make([]candidate, 0, len(members))
 	var ejected []candidate
-	for _, m := range members {
-		c := t.candidate(m, now)
+	for i := range members {
+		c := t.candidate(&members[i], now)
 		if now.Before(c.server.until) {
 			ejected = append(ejected, c)
 			continue
@@ -27,7 +27,7 @@
 	return list
 }
 
-func (t *Table) candidate(m shunt.Member, now time.Time) candidate {
+func (t *Table) candidate(m *shunt.Member, now time.Time) candidate {
 	s := t.servers[m.Control]
 	switch {
 	case s == nil:
@@ -46,7 +46,7 @@
 }
 
 // ramp returns the share of its full weight that a server has, by the time since it or its domain came back.
-func (t *Table) ramp(m shunt.Member, now time.Time) float64 {
+func (t *Table) ramp(m *shunt.Member, now time.Time) float64 {
 	since := m.ReadySince
 	if d := t.since[m.Domain]; d.After(since) {
 		since = d
@@ -56,7 +56,7 @@
 
 // choose takes the better of two servers of the own domain, unless the domain is loaded: then, with a
 // probability that rises with its load, the better of two servers elsewhere if that one is less loaded.
-func (t *Table) choose(own, others []candidate, now time.Time) (candidate, bool) {
+func (t *Table) choose(own, others []candidate) (candidate, bool) {
 	switch {
 	case len(own) == 0 && len(others) == 0:
 		return candidate{}, false
@@ -66,7 +66,7 @@
 		return t.best(others), true
 	}
 	local := t.best(own)
-	if t.random.Float64() >= t.spillShare(own, now) {
+	if t.random.Float64() >= spillShare(own) {
 		return local, true
 	}
 	if remote := t.best(others); remote.pressure() < local.pressure() {
@@ -76,25 +76,15 @@
 }
 
 // spillShare returns the share of requests that leaves the own domain: 0 up to SpillAt, then rising in
-// proportion to the load, smoothed over spillMemory. A switch at a threshold would swing the whole load
-// between domains.
-func (t *Table) spillShare(own []candidate, now time.Time) float64 {
+// proportion to the load up to spillFull. A switch at a threshold swings further, because nodes know each
+// other's load only from their own calls. Smoothing the share over 1 s made the swing larger as well.
+func spillShare(own []candidate) float64 {
 	load, capacity := 1.0, 0.0
 	for _, c := range own {
 		load += c.load - 1
 		capacity += c.limit * c.ramp
 	}
-	target := min(max((load/capacity-SpillAt)/(spillFull-SpillAt), 0), 1)
-	name := own[0].member.Service + "/" + own[0].member.Version
-	s := t.spills[name]
-	if s == nil {
-		s = &spill{share: target, at: now}
-		t.spills[name] = s
-	}
-	follow := min(float64(now.Sub(s.at))/float64(spillMemory), 1)
-	s.share += (target - s.share) * follow
-	s.at = now
-	return s.share
+	return min(max((load/capacity-SpillAt)/(spillFull-SpillAt), 0), 1)
 }
 
 // best draws two different servers by limit and returns the one with the lower load. A server takes part
--- a/picker/server.go
+++ b/picker/server.go
@@ -23,9 +23,12 @@
 	s.others = max(others, float64(max(s.reported.Limit, 1))) + 1
 }
 
+// fail counts a failure. Failures during an ejection are those of requests sent before it.
 func (s *server) fail(now time.Time) {
-	s.failures++
-	if s.failures < EjectAfter || now.Before(s.until) {
+	if now.Before(s.until) {
+		return
+	}
+	if s.failures++; s.failures < EjectAfter {
 		return
 	}
 	if now.Sub(s.until) > keep {
@@ -36,12 +39,17 @@
 	s.ejections++
 }
 
-// decayed returns the estimate of other nodes' requests at a time.
+// decayed returns the estimate of other nodes' requests at a time. A small rest counts as none: it would
+// decide between idle servers for as long as it lasts.
 func (s *server) decayed(now time.Time) float64 {
 	if s.others == 0 {
 		return 0
 	}
-	return s.others * math.Exp2(-now.Sub(s.reportedAt).Seconds()/loadHalfLife.Seconds())
+	rest := s.others * math.Exp2(-now.Sub(s.reportedAt).Seconds()/loadHalfLife.Seconds())
+	if rest < leastLoad {
+		return 0
+	}
+	return rest
 }
 
 // restart forgets what was learned of an earlier process at the same address.
@@ -51,7 +59,7 @@
 
 // limit returns the reported concurrency limit. Before the first report it is 1 for a server in its ramp,
 // whose limit has started at 1, and the announced slots otherwise.
-func (s *server) limit(m shunt.Member, ramp float64) float64 {
+func (s *server) limit(m *shunt.Member, ramp float64) float64 {
 	switch {
 	case s.reported.Limit > 0:
 		return float64(s.reported.Limit)
--- a/picker/table.go
+++ b/picker/table.go
@@ -19,9 +19,6 @@
 	SpillAt = 0.8
 	// spillFull is the load at which every request considers other domains.
 	spillFull = 1.0
-	// spillMemory smooths the share that leaves the domain. It is longer than usual latencies, because a
-	// share that follows the load faster than answers report it oscillates.
-	spillMemory = time.Second
 
 	// EjectAfter is the number of consecutive failures that eject a server.
 	EjectAfter = 5
@@ -35,6 +32,7 @@
 	// loadHalfLife is the time in which a reported load loses half of its weight. Without decay a server
 	// that once reported full would never be tried again.
 	loadHalfLife = 2 * time.Second
+	leastLoad    = 0.1
 	// keep is how long an unused entry stays. It is longer than EjectMax, so that no ejection is forgotten.
 	keep       = 10 * time.Minute
 	sweepEvery = time.Minute
@@ -51,7 +49,6 @@
 		random  *rand.Rand
 		servers map[string]*server
 		since   map[string]time.Time // by failure domain
-		spills  map[string]*spill    // by service and version
 		swept   time.Time
 	}
 
@@ -77,13 +74,8 @@
 		until       time.Time // end of the ejection
 	}
 
-	spill struct {
-		share float64
-		at    time.Time
-	}
-
 	candidate struct {
-		member shunt.Member
+		member *shunt.Member
 		server *server
 		load   float64 // expected requests including the next one
 		limit  float64
@@ -95,7 +87,7 @@
 func New(clock clockwork.Clock, domain string, source rand.Source) *Table {
 	return &Table{
 		clock: clock, domain: domain, random: rand.New(source), swept: clock.Now(),
-		servers: make(map[string]*server), since: make(map[string]time.Time), spills: make(map[string]*spill),
+		servers: make(map[string]*server), since: make(map[string]time.Time),
 	}
 }
 
@@ -127,11 +119,12 @@
 			others = append(others, c)
 		}
 	}
-	c, ok := t.choose(own, others, now)
-	if ok {
-		c.server.used = now
+	c, ok := t.choose(own, others)
+	if !ok {
+		return shunt.Member{}, false
 	}
-	return c.member, ok
+	c.server.used = now
+	return *c.member, true
 }
 
 // Started implements shunt.Picker.
@@ -203,11 +196,6 @@
 			delete(t.servers, control)
 		}
 	}
-	for name, s := range t.spills {
-		if now.Sub(s.at) > keep {
-			delete(t.spills, name)
-		}
-	}
 	for domain, since := range t.since {
 		if now.Sub(since) >= RampTime {
 			delete(t.since, domain)
