Keep servers with a slow route from being taken for cold ones

The share of slow responses was learned with a bias, since at limit 1 only the fast ones counted. Change: the lower quartile of at least 16 responses replaces the median of 8; the run that means a cold server grows with the ordinary share of slow responses (5 to 64); responses of requests admitted before the limit changed are left out of a window; the warm figure is measured again whenever the limit has grown by half. Conclusion: the bound on a cold server is limit + 4 starts, at most limit + 63 where slow responses are ordinary.

--- a/admit/learner.go
+++ b/admit/learner.go
@@ -16,8 +16,10 @@
 
 	// slowMemory is the number of responses over which the ordinary share of slow ones is averaged.
 	slowMemory = 1024
-	// minSamples is the least number of responses whose median is compared with the warm figure.
-	minSamples = 8
+	// minSamples is the least number of responses that change the limit by their latency. With 8 responses of
+	// which 30% are of a slow route, the quartile exceeds three times the warm figure in 1% of windows, with 16
+	// in 0.03%.
+	minSamples = 16
 	// maxSamples bounds the responses kept of one window; the newest replace the oldest.
 	maxSamples = 64
 
@@ -31,19 +33,19 @@
 type (
 	// learner holds the limit and what it was learned from.
 	//
-	// The warm figure is a slow average of the medians of windows in full use. It falls by a quarter of the
+	// The warm figure is a slow average of the lower quartiles of windows in full use. It falls by a quarter of the
 	// difference when a window is faster, which happens while a server warms up; and whenever the limit has
-	// doubled it is measured again in a trial window at half the limit. It rises only on evidence that the
+	// grown by half it is measured again in a trial window at half the limit. It rises only on evidence that the
 	// limiter's own concurrency isn't the cause: a window at limit 1, or, when latency has withheld growth
-	// for stallTime, a trial window at half the limit, and never above the median of that window. It then
+	// for stallTime, a trial window at half the limit, and never above the quartile of that window. It then
 	// rises by at most 25% in 10 s. So a general rise of latency, for instance of a service further down,
 	// locks the limit neither at 1 nor at its present value: a rise by the factor k at limit 1 is learned
 	// after about 10 s * log(k/2)/log(1.25). Latency that the limit itself causes never raises the figure,
 	// so the limit doesn't creep beyond what the server bears.
 	//
-	// Medians are compared, because single slow routes would otherwise dominate. Where about half of the
-	// responses belong to a route several times slower than the other half, the median is unstable and the
-	// limit stays lower than necessary.
+	// Lower quartiles are compared, because overload slows all responses, while routes that are slow by nature
+	// slow only their own. Where about a quarter of the responses are several times faster than the rest, the
+	// quartile is unstable and the limit stays lower than necessary.
 	learner struct {
 		limit     int
 		warm      float64 // nanoseconds, 0 when unknown
@@ -51,9 +53,10 @@
 		slowShare float64 // share of ordinary responses above coldAbove
 		slowRun   int
 		slowest   uint64 // newest sequence in the run
-		cutAt     uint64 // newest sequence at the last cut: older requests say nothing of the new limit
+		cutAt     uint64 // newest sequence at the last cut: refusals of older requests do not cut again
 
 		since    time.Time // begin of the window
+		from     uint64    // newest sequence when the limit last changed: older requests met another load
 		samples  []float64
 		count    int
 		full     int
@@ -61,7 +64,7 @@
 		stalled  time.Time // since when latency withholds growth, zero when it does not
 		trial    int       // limit to return to after a trial, 0 when none runs
 		withheld bool      // whether the trial was begun because latency withheld growth
-		measured int       // limit at the last trial for having doubled
+		measured int       // limit at the last trial for having grown
 	}
 
 	observation struct {
@@ -87,11 +90,11 @@
 		e.cut(o, 1)
 		return
 	}
-	if o.sequence <= e.cutAt {
+	if o.sequence <= e.from {
 		return
 	}
 	e.record(o, latency)
-	if e.limit > 1 && e.count >= minSamples && e.count%minSamples == 0 && e.overloaded() {
+	if e.limit > 1 && e.count >= minSamples && e.count%8 == 0 && e.overloaded() {
 		e.cut(o, e.limit/2)
 		return
 	}
@@ -114,16 +117,15 @@
 		return false
 	}
 	slow := latency > coldAbove*e.warm
+	if e.limit > 1 { // at limit 1 the server may be cold, which says nothing of ordinary responses
+		e.learnSlow(slow)
+	}
 	if !slow {
-		e.slowShare -= e.slowShare / slowMemory
 		if o.sequence > e.slowest {
 			e.slowRun = 0
 		}
 		return false
 	}
-	if e.limit > 1 {
-		e.slowShare += (1 - e.slowShare) / slowMemory
-	}
 	e.slowRun++
 	e.slowest = max(e.slowest, o.sequence)
 	if e.slowRun < e.coldRun() {
@@ -133,14 +135,22 @@
 	return e.limit > 1
 }
 
+func (e *learner) learnSlow(slow bool) {
+	share := 0.0
+	if slow {
+		share = 1
+	}
+	e.slowShare += (share - e.slowShare) / slowMemory
+}
+
 // coldRun returns the run of slow responses that means a cold server: 5, or as many as happen by chance
-// once in a million when slow responses are ordinary, at most 32.
+// once in a million when slow responses are ordinary, at most 64.
 func (e *learner) coldRun() int {
 	if e.slowShare <= 0 {
 		return coldRun
 	}
 	n := math.Ceil(math.Log(1e-6) / math.Log(min(e.slowShare, 0.99)))
-	return int(min(max(n, coldRun), 32))
+	return int(min(max(n, coldRun), 64))
 }
 
 func (e *learner) record(o observation, latency float64) {
@@ -162,12 +172,12 @@
 }
 
 func (e *learner) overloaded() bool {
-	return e.failed*2 >= e.count || e.warm > 0 && e.median() > cutAbove*e.warm
+	return e.failed*2 >= e.count || e.warm > 0 && e.quartile() > cutAbove*e.warm
 }
 
 // finish ends a window: it learns from it, and grows the limit when the window allows it.
 func (e *learner) finish(o observation) {
-	m, inUse := e.median(), e.full*2 >= e.count
+	m, inUse := e.quartile(), e.full*2 >= e.count
 	failing := e.failed*8 > e.count
 	defer e.begin(o.at)
 	if m == 0 || failing {
@@ -186,16 +196,17 @@
 	case inUse && e.limit < o.slots:
 		e.stalled = time.Time{}
 		e.limit++
+		e.from = o.newest
 		e.remeasure(o)
 	default:
 		e.stalled = time.Time{}
 	}
 }
 
-// remeasure begins a trial window at half the limit whenever the limit has doubled. The warm figure of a
+// remeasure begins a trial window at half the limit whenever the limit has grown by half. The warm figure of a
 // server that warms up is outdated by then, and too high a figure would let the limit pass what it bears.
 func (e *learner) remeasure(o observation) {
-	if e.limit < 2*e.measured {
+	if 2*e.limit < 3*e.measured {
 		return
 	}
 	e.measured = e.limit
@@ -206,7 +217,7 @@
 func (e *learner) try(o observation, withheld bool) {
 	e.trial, e.withheld = e.limit, withheld
 	e.limit /= 2
-	e.cutAt = o.newest
+	e.from = o.newest
 }
 
 func (e *learner) learn(now time.Time, m float64) {
@@ -242,6 +253,7 @@
 // it when latency had withheld growth.
 func (e *learner) endTrial(o observation, m float64) {
 	e.limit = min(e.trial, o.slots)
+	e.from = o.newest
 	e.trial, e.stalled = 0, time.Time{}
 	e.warm = min(e.warm, m)
 	if e.withheld && m > e.warm {
@@ -253,7 +265,7 @@
 func (e *learner) cut(o observation, limit int) {
 	e.limit = max(limit, 1)
 	e.measured = e.limit
-	e.cutAt = o.newest
+	e.cutAt, e.from = o.newest, o.newest
 	e.trial, e.stalled = 0, time.Time{}
 	e.begin(o.at)
 }
@@ -264,12 +276,13 @@
 	e.count, e.full, e.failed = 0, 0, 0
 }
 
-func (e *learner) median() float64 {
+// quartile returns the lower quartile of the window's latencies.
+func (e *learner) quartile() float64 {
 	if len(e.samples) == 0 {
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(e.samples))
-	return sorted[len(sorted)/2]
+	return sorted[len(sorted)/4]
 }
 
 // blend moves an average towards a value; an average of 0 is unknown and takes the value.
--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -17,7 +17,7 @@
 	// DefaultQueue is the number of requests of one class that may wait.
 	DefaultQueue = 128
 	// DefaultWindow is the least time between two rises of the limit. With 10 slots a cold server gets its
-	// full load after 9 windows of growth and 3 of trials at the earliest, which leaves it time to warm up.
+	// full load after 9 windows of growth and 4 of trials at the earliest, which leaves it time to warm up.
 	DefaultWindow = time.Second
 
 	// urgentMemory is how long slots stay reserved after the last urgent request. A server without urgent
@@ -45,7 +45,7 @@
 	//
 	// Cold again without notice: from the moment at which every newly started request takes more than four
 	// times the warm figure, at most limit + 4 further requests start before the limit is 1. The 4 becomes
-	// at most 31 on servers where more than 6% of ordinary responses exceed four times the warm figure.
+	// at most 63 on servers where more than 6% of ordinary responses exceed four times the warm figure.
 	Limiter struct {
 		clock  clockwork.Clock
 		queue  int
