Try another connection when an idle one went bad

Cause: a connection that the peer closed while idle ended a request as not run although the server was well, and three of them made it not ready. Change: link.Result says when a connection was unusable before anything was written; both halves then try up to three connections with an untouched body. Answers of a program that is no node are unknown, now with a test.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -22,6 +22,9 @@
 		// Unreached means that the request provably reached nobody: no connection was made, or nothing
 		// was written to it.
 		Unreached bool
+		// Stale means that the request is unreached because the connection it was given was not usable any
+		// more. The server may be well; another connection may be tried at once.
+		Stale bool
 		// Silent means that the connection stopped answering; all idle ones to the address were closed.
 		Silent bool
 	}
@@ -55,6 +58,7 @@
 		return Result{Response: resp}
 	}
 	r := Result{Err: err, Silent: silent(ctx, err, x.conn), Unreached: !x.abandon()}
+	r.Stale = r.Unreached && x.conn != nil && ctx.Err() == nil
 	if r.Silent {
 		p.Retire(req.URL.Host)
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -79,8 +79,7 @@
 func (c *call) try(m shunt.Member, n int) (*http.Response, *failure) {
 	a := &attempt{call: c, member: m, sent: c.out.Clock.Now()}
 	c.out.Picker.Started(m.Control)
-	req := a.request(n)
-	resp, f := a.send(req)
+	resp, f := a.send(n)
 	a.sample.Latency = c.out.Clock.Since(a.sent)
 	c.retries.Returned(usedBy(resp))
 	if f != nil {
@@ -92,12 +91,12 @@
 }
 
 // send returns the other half's answer, with a failure when it tells of one.
-func (a *attempt) send(req *http.Request) (*http.Response, *failure) {
-	resp, f := a.exchange(req)
+func (a *attempt) send(n int) (*http.Response, *failure) {
+	resp, f := a.exchange(n)
 	if f != nil {
 		return nil, f
 	}
-	err := complete(req.Method, resp)
+	err := complete(a.call.req.Method, resp)
 	if err == nil && resp.Header.Get(HeaderRequestID) != a.call.id {
 		err = errors.New("answer belongs to another request")
 	}
@@ -114,16 +113,16 @@
 	return resp, &failure{status: resp.StatusCode, outcome: outcome, reason: resp.Header.Get(HeaderReason)}
 }
 
-func (a *attempt) exchange(req *http.Request) (*http.Response, *failure) {
+func (a *attempt) exchange(n int) (*http.Response, *failure) {
 	o := a.call.out
 	if a.member.Control == o.Directory.Self().Control {
-		resp, err := o.Local.RoundTrip(req)
+		resp, err := o.Local.RoundTrip(a.request(n))
 		if err != nil {
 			return nil, broken(err.Error())
 		}
 		return resp, nil
 	}
-	res := o.Pool.Do(req)
+	res := exchange(o.Pool, func() *http.Request { return a.request(n) }, a.call.payload.again)
 	if res.Err == nil {
 		return res.Response, nil
 	}
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -151,6 +151,39 @@
 	}
 }
 
+// Guards against refusing requests because an idle connection went bad.
+func TestStaleConnectionsAreReplaced(t *testing.T) {
+	log.SetOutput(io.Discard) // the Transport logs second answers
+	defer log.SetOutput(os.Stderr)
+	n := newNode(t, raw(t, func(c net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(c, whole+whole)
+		return err == nil
+	}))
+	for i := range 1000 {
+		id := fmt.Sprint(i)
+		g := n.do(n.request(t, http.MethodPost, id, strings.NewReader("body")))
+		if g.status != http.StatusOK || n.backend.count(id) != 1 {
+			t.Fatalf("%s got %+v, ran %d times", id, g, n.backend.count(id))
+		}
+	}
+}
+
+// Guards against believing what another program says at an address that a node had before.
+func TestForeignAnswerIsUnknown(t *testing.T) {
+	n := newNode(t, serve(t, func(http.ResponseWriter, *http.Request) {}))
+	foreign := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderOutcome, OutcomeNotRun)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	n.fakes.members[0].Calls = foreign.addr
+	if g := n.do(
+		n.request(t, http.MethodPost, "a", nil),
+	); g.status != http.StatusBadGateway ||
+		g.outcome != OutcomeUnknown {
+		t.Fatalf("got %+v", g)
+	}
+}
+
 // Guards against a frozen server holding a caller beyond its deadline, and against calling that not run.
 func TestFrozenBackend(t *testing.T) {
 	reached, done := make(chan struct{}), make(chan struct{})
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -150,7 +150,7 @@
 // forward sends the request to the backend server.
 func (c *run) forward() *http.Response {
 	c.sent = c.in.Clock.Now()
-	res := c.in.Pool.Do(c.request())
+	res := exchange(c.in.Pool, c.request, func() bool { return c.body == nil || c.body.seal() })
 	c.sample.Latency = c.in.Clock.Since(c.sent)
 	if res.Err != nil {
 		return c.fail(res, c.explain(res))
@@ -189,7 +189,9 @@
 	c.sample.Ignore, c.sample.Failed = left, !left
 	switch {
 	case res.Unreached && c.ctx.Err() == nil:
-		c.in.Server.Refused()
+		if !res.Stale {
+			c.in.Server.Refused()
+		}
 		return notRun("backend server cannot be reached: " + res.Err.Error())
 	case res.Unreached:
 		return notRun("deadline passed or caller left before the request was forwarded")
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -6,9 +6,15 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"tanagershunt.example/shunt/link"
 )
 
-const copyBytes = 32 << 10
+const (
+	copyBytes = 32 << 10
+	// staleTries bounds how many connections are tried when the peer has just closed those that were idle.
+	staleTries = 3
+)
 
 var buffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
 
@@ -28,6 +34,17 @@
 	}
 }
 
+// exchange sends a request, on another connection when the first turns out to be unusable before anything was
+// written to it. Again reports whether the body is still untouched.
+func exchange(p *link.Pool, request func() *http.Request, again func() bool) (r link.Result) {
+	for range staleTries {
+		if r = p.Do(request()); !r.Stale || !again() {
+			break
+		}
+	}
+	return r
+}
+
 // relay writes an answer to the caller and closes its body. When the answer breaks off or the caller stops
 // reading, it panics with http.ErrAbortHandler, which closes the caller's connection.
 func relay(w http.ResponseWriter, resp *http.Response) {
