--- a/link/exchange.go
+++ b/link/exchange.go
@@ -22,6 +22,9 @@
 		// Unreached means that the request provably reached nobody: no connection was made, or nothing
 		// was written to it.
 		Unreached bool
+		// Stale means that the request is unreached because the connection it was given was not usable any
+		// more. The server may be well; another connection may be tried at once.
+		Stale bool
 		// Silent means that the connection stopped answering; all idle ones to the address were closed.
 		Silent bool
 	}
@@ -29,6 +32,7 @@
 	// exchange follows one request through the Transport. Its fields are written by the Transport's hooks
 	// before RoundTrip returns.
 	exchange struct {
+		trace   httptrace.ClientTrace
 		conn    *conn
 		use     uint64
 		start   int64
@@ -41,9 +45,9 @@
 // whose body is closed before its end costs the connection.
 func (p *Pool) Do(req *http.Request) Result {
 	x := &exchange{}
-	trace := &httptrace.ClientTrace{GotConn: x.gotConn, PutIdleConn: x.putIdle}
+	x.trace = httptrace.ClientTrace{GotConn: x.gotConn, PutIdleConn: x.putIdle}
 	ctx := req.Context()
-	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &x.trace))
 	protect(req)
 	resp, err := p.transport.RoundTrip(req)
 	if err == nil && x.conn != nil && !x.conn.wrote(x.start) {
@@ -54,6 +58,7 @@
 		return Result{Response: resp}
 	}
 	r := Result{Err: err, Silent: silent(ctx, err, x.conn), Unreached: !x.abandon()}
+	r.Stale = r.Unreached && x.conn != nil && ctx.Err() == nil
 	if r.Silent {
 		p.Retire(req.URL.Host)
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -79,8 +79,7 @@
 func (c *call) try(m shunt.Member, n int) (*http.Response, *failure) {
 	a := &attempt{call: c, member: m, sent: c.out.Clock.Now()}
 	c.out.Picker.Started(m.Control)
-	req := a.request(n)
-	resp, f := a.send(req)
+	resp, f := a.send(n)
 	a.sample.Latency = c.out.Clock.Since(a.sent)
 	c.retries.Returned(usedBy(resp))
 	if f != nil {
@@ -92,12 +91,12 @@
 }
 
 // send returns the other half's answer, with a failure when it tells of one.
-func (a *attempt) send(req *http.Request) (*http.Response, *failure) {
-	resp, f := a.exchange(req)
+func (a *attempt) send(n int) (*http.Response, *failure) {
+	resp, f := a.exchange(n)
 	if f != nil {
 		return nil, f
 	}
-	err := complete(req.Method, resp)
+	err := complete(a.call.req.Method, resp)
 	if err == nil && resp.Header.Get(HeaderRequestID) != a.call.id {
 		err = errors.New("answer belongs to another request")
 	}
@@ -114,16 +113,16 @@
 	return resp, &failure{status: resp.StatusCode, outcome: outcome, reason: resp.Header.Get(HeaderReason)}
 }
 
-func (a *attempt) exchange(req *http.Request) (*http.Response, *failure) {
+func (a *attempt) exchange(n int) (*http.Response, *failure) {
 	o := a.call.out
 	if a.member.Control == o.Directory.Self().Control {
-		resp, err := o.Local.RoundTrip(req)
+		resp, err := o.Local.RoundTrip(a.request(n))
 		if err != nil {
 			return nil, broken(err.Error())
 		}
 		return resp, nil
 	}
-	res := o.Pool.Do(req)
+	res := exchange(o.Pool, func() *http.Request { return a.request(n) }, a.call.payload.again)
 	if res.Err == nil {
 		return res.Response, nil
 	}
@@ -150,15 +149,17 @@
 	u.Scheme, u.Host = "http", a.member.Calls
 	h := forwardableRequest(c.req.Header)
 	strip(h)
-	h[HeaderRequestID] = []string{c.id}
-	h[HeaderAttempt] = []string{strconv.Itoa(n)}
-	h[HeaderTimeout] = []string{remaining(c.ctx, c.out.Clock)}
-	h[HeaderHops] = []string{strconv.Itoa(c.hops)}
-	h[HeaderRetriesLeft] = []string{strconv.Itoa(c.retries.Left())}
-	h[HeaderClass] = []string{c.target.Contract.Class.String()}
-	h[HeaderRoute] = []string{c.target.Route}
-	h[HeaderVersion] = []string{c.target.Version}
-	h[HeaderConfig] = []string{strconv.FormatUint(uint64(c.offset), 10)}
+	set(h, [][2]string{
+		{HeaderRequestID, c.id},
+		{HeaderAttempt, strconv.Itoa(n)},
+		{HeaderTimeout, remaining(c.ctx, c.out.Clock)},
+		{HeaderHops, strconv.Itoa(c.hops)},
+		{HeaderRetriesLeft, strconv.Itoa(c.retries.Left())},
+		{HeaderClass, c.target.Contract.Class.String()},
+		{HeaderRoute, c.target.Route},
+		{HeaderVersion, c.target.Version},
+		{HeaderConfig, strconv.FormatUint(uint64(c.offset), 10)},
+	})
 	out := &http.Request{Method: c.req.Method, URL: &u, Host: c.req.Host, Header: h, Trailer: c.req.Trailer}
 	c.payload.attempt(out)
 	return out.WithContext(c.ctx)
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -44,17 +44,16 @@
 
 	// run is one request on the backend server.
 	run struct {
-		in      *Inbound
-		req     *http.Request
-		ctx     context.Context
-		cancel  context.CancelFunc
-		id      string
-		record  server.Record
-		ticket  shunt.Ticket
-		body    *onceBody
-		unwatch func() bool
-		sent    time.Time
-		sample  shunt.Sample
+		in     *Inbound
+		req    *http.Request
+		ctx    context.Context
+		cancel context.CancelFunc
+		id     string
+		record server.Record
+		ticket shunt.Ticket
+		body   *onceBody
+		sent   time.Time
+		sample shunt.Sample
 	}
 )
 
@@ -151,7 +150,7 @@
 // forward sends the request to the backend server.
 func (c *run) forward() *http.Response {
 	c.sent = c.in.Clock.Now()
-	res := c.in.Pool.Do(c.request())
+	res := exchange(c.in.Pool, c.request, func() bool { return c.body == nil || c.body.seal() })
 	c.sample.Latency = c.in.Clock.Since(c.sent)
 	if res.Err != nil {
 		return c.fail(res, c.explain(res))
@@ -178,7 +177,7 @@
 	}
 	if c.req.Body != nil && c.req.Body != http.NoBody {
 		c.body = &onceBody{src: c.req.Body}
-		c.unwatch = watch(c.ctx, c.req.Body)
+		bound(c.ctx, c.req.Body)
 		out.Body = c.body
 	}
 	return out.WithContext(c.ctx)
@@ -190,7 +189,9 @@
 	c.sample.Ignore, c.sample.Failed = left, !left
 	switch {
 	case res.Unreached && c.ctx.Err() == nil:
-		c.in.Server.Refused()
+		if !res.Stale {
+			c.in.Server.Refused()
+		}
 		return notRun("backend server cannot be reached: " + res.Err.Error())
 	case res.Unreached:
 		return notRun("deadline passed or caller left before the request was forwarded")
@@ -258,9 +259,6 @@
 
 func (c *run) finish() {
 	c.ticket.Done(c.sample)
-	if c.unwatch != nil {
-		c.unwatch()
-	}
 	c.cancel()
 	c.in.gate.leave()
 }
