Start no request that can't end before its deadline

Cause: under overload a queued request started shortly before its deadline, held a slot and was cut short. These cut requests also made windows count as failing, so that the limit did not grow, and lowered the mean time in a slot, so that the next ones started as late. Change: a request starts only with 1.5 times the mean time in a slot left, except on an idle server; a failure may only raise the mean.

--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -34,8 +34,8 @@
 var (
 	ErrLeaving   = errors.New("server is leaving")
 	ErrQueueFull = errors.New("queue is full")
-	ErrTooLate   = errors.New("estimated start misses the deadline")
-	ErrExpired   = errors.New("deadline passed in the queue")
+	ErrTooLate   = errors.New("estimated end misses the deadline")
+	ErrExpired   = errors.New("no time left to run after the wait in the queue")
 	ErrCancelled = errors.New("cancelled by the caller in the queue")
 )
 
@@ -119,11 +119,7 @@
 func (l *Limiter) Load() shunt.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := shunt.Load{InFlight: l.running, Limit: l.learner.limit}
-	for i := range l.waiting {
-		load.Queued += l.waiting[i].Len()
-	}
-	return load
+	return shunt.Load{InFlight: l.running, Limit: l.learner.limit, Queued: l.queued()}
 }
 
 // Warm returns the learned warm figure, 0 when unknown.
@@ -194,8 +190,10 @@
 
 func (l *Limiter) learn(t *ticket, s shunt.Sample) {
 	now := l.clock.Now()
-	if !s.Shed {
-		l.hold = blend(l.hold, float64(now.Sub(t.started)), 1.0/16)
+	// A request that its deadline cut short held its slot for less than it needed, so a failure may only raise
+	// the mean.
+	if held := float64(now.Sub(t.started)); !s.Shed && (!s.Failed || held > l.hold) {
+		l.hold = blend(l.hold, held, 1.0/16)
 	}
 	full := l.lastFull >= t.sequence // at some time while the request ran
 	l.learner.observe(observation{
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -10,12 +10,17 @@
 	"tanagershunt.example/shunt"
 )
 
+// endMargin is the part of the mean time in a slot that a request must have left when it starts. About the mean,
+// half of all requests that start at the last moment would end too late.
+const endMargin = 1.5
+
 type (
 	waiter struct {
 		class    shunt.Class
 		deadline time.Time
 		arrival  uint64
-		index    int // in its heap, -1 when not queued
+		alone    bool // came while nothing ran or waited
+		index    int  // in its heap, -1 when not queued
 		ready    chan struct{}
 		ticket   *ticket
 		err      error
@@ -83,8 +88,9 @@
 	}
 	w := &waiter{class: class, deadline: deadline, arrival: l.arrivals, index: -1, ready: make(chan struct{})}
 	l.arrivals++
-	if start := now.Add(l.estimate(w)); !start.Before(deadline) {
-		return nil, refusal(fmt.Errorf("%w by %v", ErrTooLate, start.Sub(deadline)))
+	w.alone = l.running == 0 && l.queued() == 0
+	if end := now.Add(l.estimate(w)).Add(l.needed(w)); !end.Before(deadline) {
+		return nil, refusal(fmt.Errorf("%w by %v", ErrTooLate, end.Sub(deadline)))
 	}
 	heap.Push(&l.waiting[class], w)
 	l.dispatch()
@@ -122,6 +128,24 @@
 	return time.Duration(float64(waits) * l.hold / float64(slots))
 }
 
+// needed returns the time that a request must have left when it starts: a request that starts later holds a
+// slot without a caller to answer, and under overload most would. A request that comes to an idle server always
+// starts, because the mean may be outdated.
+func (l *Limiter) needed(w *waiter) time.Duration {
+	if w.alone {
+		return 0
+	}
+	return time.Duration(endMargin * l.hold)
+}
+
+func (l *Limiter) queued() int {
+	n := 0
+	for i := range l.waiting {
+		n += l.waiting[i].Len()
+	}
+	return n
+}
+
 // abandon ends the wait of a request whose context ended. A slot granted meanwhile is given back: the
 // request has not run.
 func (l *Limiter) abandon(w *waiter) {
@@ -162,7 +186,7 @@
 		if w == nil {
 			return
 		}
-		if !now.Before(w.deadline) {
+		if !now.Add(l.needed(w)).Before(w.deadline) {
 			l.refuse(w, ErrExpired)
 			continue
 		}
