Keep a shed answer when no other server takes the request

Cause: on a repeatable route a 503 of the only server became a 502 of the system. The inbound half cut routes with more than 30 s to 30 s. Change: the answer is kept until another server is picked; the inbound half takes the time that the outbound half gives, up to an hour. net/http's server messages go to the process log.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -24,6 +24,7 @@
 // when no attempt may have run.
 func (c *call) attempts() (*http.Response, *failure) {
 	var last *failure
+	var held *http.Response // answer of a server that shed the request, kept in case no other takes it
 	for n := 1; ; n++ {
 		servers := c.out.Directory.Servers(c.target.Service, c.target.Version)
 		m, ok := c.out.Picker.Pick(servers, c.tried)
@@ -31,17 +32,22 @@
 			c.count(shunt.Member{}, shunt.OutcomeNotRun, 0)
 			return nil, notRun("no server takes the request")
 		}
+		if !ok && held != nil {
+			return held, nil
+		}
 		if !ok {
 			return nil, last
 		}
+		if held != nil {
+			held.Body.Close()
+		}
 		c.tried = append(c.tried, m.Control)
 		resp, f := c.try(m, n)
 		if !c.retry(resp, f) {
 			return resp, c.worst(f)
 		}
-		if resp != nil {
+		if held = resp; resp != nil {
 			f = broken("server shed the request with status " + strconv.Itoa(resp.StatusCode))
-			resp.Body.Close()
 		}
 		last = c.worst(f)
 	}
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -73,14 +73,11 @@
 			}
 		}
 	}
-	for _, q := range []struct {
-		name string
-		at   float64
-	}{{"p50", 50}, {"p99", 99}} {
-		direct := times[0].ValueAtQuantile(q.at)
-		b.ReportMetric(float64(direct)/1e6, "direct-"+q.name+"-ms")
-		b.ReportMetric(float64(times[1].ValueAtQuantile(q.at)-direct)/1e6, "bare-added-"+q.name+"-ms")
-		b.ReportMetric(float64(times[2].ValueAtQuantile(q.at)-direct)/1e6, "added-"+q.name+"-ms")
+	for name, at := range map[string]float64{"p50": 50, "p99": 99} {
+		direct := times[0].ValueAtQuantile(at)
+		b.ReportMetric(float64(direct)/1e6, "direct-"+name+"-ms")
+		b.ReportMetric(float64(times[1].ValueAtQuantile(at)-direct)/1e6, "bare-added-"+name+"-ms")
+		b.ReportMetric(float64(times[2].ValueAtQuantile(at)-direct)/1e6, "added-"+name+"-ms")
 	}
 	var mallocs [3]uint64
 	for i, addr := range ways {
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -190,7 +190,7 @@
 	defer close(done)
 	b := raw(t, func(net.Conn, *http.Request) bool { close(reached); <-done; return false })
 	n := newNode(t, b)
-	go func() { <-reached; n.clock.Advance(time.Minute) }()
+	go func() { <-reached; n.clock.Advance(time.Hour) }()
 	g := n.do(n.request(t, http.MethodPost, "a", strings.NewReader("body")))
 	if g.status != http.StatusGatewayTimeout || g.outcome != OutcomeUnknown || b.count("a") != 1 {
 		t.Fatalf("got %+v, ran %d times", g, b.count("a"))
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -18,6 +18,8 @@
 const (
 	// defaultTimeout bounds a request that brings no deadline and whose route has none.
 	defaultTimeout = 30 * time.Second
+	// maxTimeout bounds what another node may ask for. Its route's timeout is usually much shorter.
+	maxTimeout = time.Hour
 	// defaultRamp is the time after which a server counts as warm.
 	defaultRamp = time.Minute
 )
@@ -93,7 +95,7 @@
 		in.gate.leave()
 		return in.refuse(id, f)
 	}
-	c.ctx, c.cancel = in.Timeout(r.Context(), timeout(r.Header, defaultTimeout))
+	c.ctx, c.cancel = in.Timeout(r.Context(), inboundTimeout(r.Header))
 	if f := c.admit(); f != nil {
 		c.cancel()
 		in.gate.leave()
@@ -120,7 +122,7 @@
 	switch {
 	case hops(c.req.Header) > MaxHops:
 		return tooManyHops()
-	case timeout(c.req.Header, defaultTimeout) <= 0:
+	case inboundTimeout(c.req.Header) <= 0:
 		return notRun("no time left")
 	case c.record.Service == "":
 		return notRun("no backend server is announced")
@@ -263,6 +265,14 @@
 	c.in.gate.leave()
 }
 
+// inboundTimeout returns the time that the outbound half gave the request.
+func inboundTimeout(h http.Header) time.Duration {
+	if h.Get(HeaderTimeout) == "" {
+		return defaultTimeout
+	}
+	return timeout(h, maxTimeout)
+}
+
 // shed reports whether a status means that the server refused the request because of load.
 func shed(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -2,11 +2,14 @@
 
 import (
 	"io"
-	"log"
+	stdlog "log"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/apex/log"
 )
 
 // Limits bounds what a peer can make a server hold or wait for. Zero fields mean the defaults.
@@ -32,10 +35,19 @@
 		IdleTimeout:                  l.Idle,
 		MaxHeaderBytes:               l.HeaderBytes,
 		DisableGeneralOptionsHandler: true,
-		ErrorLog:                     log.New(os.Stderr, "", 0),
+		ErrorLog:                     stdlog.New(errorLog{}, "", 0),
 	}
 }
 
+// errorLog writes net/http's messages to the log of the process.
+type errorLog struct{}
+
+// Write implements io.Writer.
+func (errorLog) Write(p []byte) (int, error) {
+	log.WithField("message", strings.TrimSpace(string(p))).Warn("http server")
+	return len(p), nil
+}
+
 func (l Limits) withDefaults() Limits {
 	for _, d := range []struct {
 		field    *time.Duration
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -26,7 +26,7 @@
 		repeatable    bool
 		allowance     int
 		first         func(net.Conn, *http.Request) bool
-		refuses       []func(*node) // what the first and second server's nodes do
+		refuses       []func(*node) // what the two nodes do; nil for no second node
 		body          string
 		status        int
 		outcome       string
@@ -41,6 +41,7 @@
 		{"unknown, then not run", true, 2, lost, []func(*node){nil, refuse}, "body", 502, OutcomeUnknown, 1, 0},
 		{"shed", false, 2, busy, []func(*node){nil, nil}, "body", 503, "", 1, 0},
 		{"shed, repeatable", true, 2, busy, []func(*node){nil, nil}, "body", 200, "", 1, 1},
+		{"shed, repeatable, alone", true, 2, busy, nil, "body", 503, "", 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := newNode(t, raw(t, c.first))
@@ -49,11 +50,13 @@
 					t.Errorf("%d bytes arrived", len(data))
 				}
 			}))
-			n.fakes.members = append(n.fakes.members, next.member)
+			if c.refuses != nil {
+				n.fakes.members = append(n.fakes.members, next.member)
+			}
 			n.fakes.repeatable, n.fakes.allowance = c.repeatable, c.allowance
-			for i, node := range []*node{n, next} {
-				if c.refuses[i] != nil {
-					c.refuses[i](node)
+			for i, refuse := range c.refuses {
+				if refuse != nil {
+					refuse([]*node{n, next}[i])
 				}
 			}
 			g := n.do(n.request(t, http.MethodPost, "a", strings.NewReader(c.body)))
@@ -155,14 +158,14 @@
 	for name, v := range map[string]string{
 		HeaderAttempt: "9", HeaderLoad: "9/9/9", HeaderVersion: "desk-9", HeaderOutcome: OutcomeNotRun,
 		"Connection": "X-Mine, Upgrade", "X-Mine": "1", "Upgrade": "h2c", "Te": "trailers, deflate", "X-End": "1",
-		HeaderHops: "3", HeaderTimeout: "500",
+		HeaderHops: "3", HeaderTimeout: "90000",
 	} {
 		r.Header.Set(name, v)
 	}
 	g := n.do(r)
 	for name, want := range map[string]string{
 		HeaderAttempt: "1", HeaderLoad: "", HeaderVersion: "desk-1", HeaderOutcome: "", HeaderHops: "4",
-		HeaderTimeout: "500", HeaderRequestID: "a", HeaderRetriesLeft: "2", HeaderClass: "urgent",
+		HeaderTimeout: "90000", HeaderRequestID: "a", HeaderRetriesLeft: "2", HeaderClass: "urgent",
 		HeaderRoute: "issue", HeaderConfig: "7", "X-Mine": "", "Upgrade": "", "Te": "trailers", "X-End": "1",
 	} {
 		if v := n.backend.seen[0].Get(name); v != want {
--- a/proxy/stand_test.go
+++ b/proxy/stand_test.go
@@ -108,7 +108,7 @@
 func (f *fakes) Route(string, string, float64) (shunt.Target, error) {
 	return shunt.Target{
 		Service: "desk", Route: "issue", Version: f.version,
-		Contract: shunt.Contract{Repeatable: f.repeatable, Timeout: 10 * time.Second},
+		Contract: shunt.Contract{Repeatable: f.repeatable, Timeout: 2 * time.Minute},
 	}, f.routing
 }
 func (f *fakes) Servers(string, string) []shunt.Member      { return f.members }
@@ -134,12 +134,11 @@
 }
 
 func (f *fakes) Pick(candidates []shunt.Member, skip []string) (shunt.Member, bool) {
-	for _, m := range candidates {
-		if !slices.Contains(skip, m.Control) {
-			return m, true
-		}
+	i := slices.IndexFunc(candidates, func(m shunt.Member) bool { return !slices.Contains(skip, m.Control) })
+	if i < 0 {
+		return shunt.Member{}, false
 	}
-	return shunt.Member{}, false
+	return candidates[i], true
 }
 
 func note[T any](f *fakes, list *[]T, v T) {
