--- a/link/pool.go
+++ b/link/pool.go
@@ -11,7 +11,9 @@
 )
 
 type (
-	// Limits bounds a Pool. Zero fields mean the defaults.
+	// Limits bounds a Pool. Zero fields mean the defaults. FirstByte should exceed the longest timeout of a
+	// route, because a server that is only slow would count as silent. Idle should be shorter than the time
+	// after which the peer closes idle connections.
 	Limits struct {
 		Dial         time.Duration // making a connection, default 1s
 		KeepAlive    time.Duration // idle time before a TCP probe, and time between probes, default 5s
