--- a/relay/confirm.go
+++ b/relay/confirm.go
@@ -14,7 +14,7 @@
 
 const (
 	// childTime is how long a child that does not poll any more stays in the group.
-	childTime = 30 * time.Second
+	childTime = 3 * FetchWait
 	// confirmDelay is how long a relay waits for its last children before it confirms for the others.
 	confirmDelay = time.Second
 	// maxGroup bounds the nodes of a group that a child reports.
@@ -168,27 +168,24 @@
 	return known
 }
 
-// aggregate expresses offsets as the median, which most nodes share, and the nodes below it. Complete means
-// that all nodes are at the newest offset.
+// aggregate expresses offsets as the newest, which most nodes share, and the nodes below it. Complete means
+// that there are none.
 func aggregate(known map[Node]shunt.Offset) (x *Confirm, complete bool) {
 	x = &Confirm{Nodes: make([]Node, 0, len(known))}
-	offsets := make([]shunt.Offset, 0, len(known))
 	for n, o := range known {
 		x.Nodes = append(x.Nodes, n)
-		offsets = append(offsets, o)
+		x.Min = max(x.Min, o)
 	}
 	slices.SortFunc(x.Nodes, func(a, b Node) int {
 		return cmp.Or(cmp.Compare(a.Control, b.Control), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
-	slices.Sort(offsets)
-	x.Min = offsets[len(offsets)/2]
 	for i, n := range x.Nodes {
 		if o := known[n]; o < x.Min {
 			x.Stragglers = append(x.Stragglers, Straggler{Index: i, Offset: o})
 		}
 	}
 	x.Group = groupID(x.Nodes)
-	return x, offsets[0] == offsets[len(offsets)-1]
+	return x, len(x.Stragglers) == 0
 }
 
 func groupID(nodes []Node) uint64 {
--- a/relay/fault_test.go
+++ b/relay/fault_test.go
@@ -113,13 +113,9 @@
 			m.start(n)
 		}
 	case opPartition, opHeal:
-		m.mu.Lock()
-		clear(m.apart)
-		m.mu.Unlock()
-		for _, n := range m.selected(s.Nodes) {
-			m.mu.Lock()
-			m.apart[n.address] = s.Op == opPartition
-			m.mu.Unlock()
+		m.partition()
+		if s.Op == opPartition {
+			m.partition(addresses(m.selected(s.Nodes))...)
 		}
 	case opLogDown, opLogUp:
 		faults.Down = s.Op == opLogDown
@@ -222,6 +218,13 @@
 	return list
 }
 
+func addresses(nodes []*meshNode) (list []string) {
+	for _, n := range nodes {
+		list = append(list, n.address)
+	}
+	return list
+}
+
 func (m *mesh) setFaults(f mlog.Faults) {
 	m.faults = f
 	m.log.SetFaults(f)
--- a/relay/floor.go
+++ b/relay/floor.go
@@ -99,7 +99,8 @@
 
 // floorFromPeers asks every member of the failure domain, because any of them may be the one that delivered
 // the newest record to this address, and the readers of the others, which deliver to readers. A peer that
-// has not reached its own floor does not count towards the number required.
+// has not reached its own floor does not count towards the number required. Members declared dead count as
+// part of the failure domain while they are remembered: for a node that is cut off they are merely unreachable.
 func (h *Hub) floorFromPeers(ctx context.Context) floor {
 	h.mu.Lock()
 	joined := h.joined
@@ -108,16 +109,16 @@
 		return floor{source: "no other node has answered yet"}
 	}
 	peers := slices.DeleteFunc(slices.Clone(h.table.Live(h.self.Domain)), h.isSelf)
-	need := min(floorPeers, len(peers))
+	size := h.peersOf(h.self.Control, h.self.Domain)
 	others := h.otherReaders()
-	if need == 0 {
-		need = 1
+	if size == 0 {
 		others = append(others, slices.DeleteFunc(slices.Clone(h.opts.Seeds), h.isSelf)...)
 	}
 	f := floor{}
 	known, restarted := 0, 0
 	for _, a := range h.askFloor(ctx, peers) {
 		f.offset = max(f.offset, a.reply.Offset)
+		size = max(size, a.reply.Peers)
 		switch {
 		case a.err != nil:
 		case a.reply.Known:
@@ -128,24 +129,36 @@
 	}
 	for _, a := range h.askFloor(ctx, others) {
 		f.offset = max(f.offset, a.reply.Offset)
-		// The other failure domains stand in only when this one lost its memory: it is a lone node, or its
-		// nodes have restarted together.
-		if a.err == nil && a.reply.Known && (len(peers) == 0 || restarted > 0) {
+		// The other failure domains stand in only when this one lost memory: it is a lone node, or others of
+		// its nodes have restarted too or died.
+		if a.err == nil && a.reply.Known && (len(peers) == 0 || restarted > 0 || size > len(peers)) {
 			known++
 		}
 	}
+	need := max(min(floorPeers, size), 1)
 	f.known = known >= need
 	f.source = fmt.Sprintf("%d of %d peers needed, %d restarted too", known, need, restarted)
 	return f
 }
 
+// peersOf returns the number of members of a failure domain besides one, those declared dead included.
+func (h *Hub) peersOf(control, domain string) int {
+	n := 0
+	for _, m := range h.table.Since(member.Query{Domain: domain}).Members {
+		if m.Control != control {
+			n++
+		}
+	}
+	return n
+}
+
 func (h *Hub) isSelf(control string) bool { return control == h.self.Control }
 
 func (h *Hub) otherReaders() []string {
 	var list []string
 	for _, d := range h.table.Domains() {
 		if d != h.self.Domain {
-			list = append(list, controls(h.table.Holders(member.RoleReader, d, member.Readers))...)
+			list = append(list, controls(h.table.Holders(member.RoleReader, d, topReaders))...)
 		}
 	}
 	return list
@@ -160,7 +173,15 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			a := floorAnswer{control: c}
-			a.err = h.call(ctx, c, purposeReport, "Floor", 0, FloorArgs{Control: h.self.Control}, &a.reply)
+			a.err = h.call(
+				ctx,
+				c,
+				purposeReport,
+				"Floor",
+				0,
+				FloorArgs{Control: h.self.Control, Domain: h.self.Domain},
+				&a.reply,
+			)
 			answers[i] = a
 		})
 	}
--- a/relay/mesh_test.go
+++ b/relay/mesh_test.go
@@ -281,6 +281,35 @@
 
 func newReply(like any) any { return reflect.New(reflect.TypeOf(like).Elem()).Interface() }
 
+// partition cuts the given nodes off from all others, and heals earlier partitions.
+func (m *mesh) partition(addresses ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.apart)
+	for _, a := range addresses {
+		m.apart[a] = true
+	}
+}
+
+// leaf returns a leaf of a failure domain.
+func (m *mesh) leaf(domain string) string {
+	for a, h := range m.live() {
+		if m.nodes[a].domain == domain && h.Status().Role == RoleLeaf {
+			return a
+		}
+	}
+	return ""
+}
+
+// counted returns the calls of a method since the last time, and starts to count again.
+func (m *mesh) counted(method string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := m.calls[method]
+	clear(m.calls)
+	return n
+}
+
 // members describes the entries of a failure domain.
 func (h *Hub) members(domain string) string {
 	var list []string
--- a/relay/message.go
+++ b/relay/message.go
@@ -111,12 +111,16 @@
 	}
 
 	// FloorArgs is the request of Relay.Floor.
-	FloorArgs struct{ Control string }
+	FloorArgs struct {
+		Control string
+		Domain  string // failure domain of the asker
+	}
 
 	// FloorReply is the response of Relay.Floor.
 	FloorReply struct {
 		Known  bool         // the peer has learned its own floor and reached it
 		Offset shunt.Offset // the larger of the peer's own and the highest delivered to the asker's address
+		Peers  int          // members of the asker's failure domain besides it, those declared dead included
 	}
 
 	// InForceArgs is the request of Relay.InForce.
--- a/relay/service.go
+++ b/relay/service.go
@@ -20,7 +20,8 @@
 // Fetch answers a child's long poll.
 func (r *Relay) Fetch(args FetchArgs, reply *FetchReply) error {
 	h := r.hub
-	if args.Domain == h.self.Domain && h.confirm.seen(args, h.clock.Now()) {
+	// Nodes that fetch no records only compare members and are no children.
+	if args.Domain == h.self.Domain && !args.NoRecords && h.confirm.seen(args, h.clock.Now()) {
 		h.up.notify()
 	}
 	end := h.clock.After(min(args.Wait, LinkWait))
@@ -73,6 +74,7 @@
 	if s == nil {
 		s = h.Current()
 	}
+	reply.Peers = h.peersOf(args.Control, args.Domain)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	reply.Offset = max(s.Offset(), h.delivered[args.Control])
