Make the tests of joining and of a silent parent able to fail

The silent parent answered polls from before it fell silent, and nodes without delay learn of one another in the ideal order. The test of the parent now waits for those polls and fails without the next parent. The digest alone is proved by TestDiffering in member.

--- a/member/detector_test.go
+++ b/member/detector_test.go
@@ -235,6 +235,33 @@
 	}
 }
 
+// Guards against nodes that know one another only in part and never notice: a difference that lasts is told,
+// one that is gone at the next probe is not.
+func TestDiffering(t *testing.T) {
+	for _, extra := range []bool{false, true} {
+		n := newNetwork(t, 5, "a")
+		n.down["a9"] = true
+		node := n.nodes["a0"]
+		if extra {
+			node.table.Merge(server("a9", "a", "s", "v"))
+		}
+		for range 4 {
+			n.clock.Advance(ProbeInterval)
+			node.detector.Tick(t.Context())
+		}
+		select {
+		case control := <-node.table.Differing():
+			if !extra {
+				t.Errorf("%s differs although it has the same entries", control)
+			}
+		default:
+			if extra {
+				t.Error("a lasting difference is not told")
+			}
+		}
+	}
+}
+
 // Guards against a clock difference that a single wrong clock decides.
 func TestClockDifference(t *testing.T) {
 	n := newNetwork(t, 4, "a")
--- a/relay/hub_test.go
+++ b/relay/hub_test.go
@@ -73,13 +73,23 @@
 	}, "a:30", "b:3", "c:1")
 }
 
+// joinBound is the time in which nodes that start together must know one another.
+const joinBound = 5 * time.Second
+
 // Guards against many nodes that start together and know one another only in part for long.
 func TestJoin(t *testing.T) {
 	for seed := range uint64(5) {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, seed, mlog.Limits{}, "a:12", "b:4")
+			m := newMesh(t, seed, mlog.Limits{}, "a:24")
 			defer m.stop()
-			m.until(8*time.Second, "join", func(h *Hub) bool { return h.table.Len() == 16 && at(0)(h) })
+			m.mu.Lock()
+			m.delay = 400 * time.Millisecond // nodes learn of one another in different orders
+			m.mu.Unlock()
+			for _, a := range m.addresses {
+				m.crash(m.nodes[a])
+				m.start(m.nodes[a])
+			}
+			m.until(joinBound, "join", func(h *Hub) bool { return h.table.Len() == 24 && at(0)(h) })
 		})
 	}
 }
@@ -91,6 +101,7 @@
 		m.mu.Lock()
 		m.mute = parent
 		m.mu.Unlock()
+		time.Sleep(FetchWait) // no poll from before is under way
 		last := m.publish()
 		m.until(conf.SpreadBound, "spread", at(last))
 	}, "a:30")
