--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -20,8 +20,8 @@
 const (
 	// chunkOverhead bounds the JSON form of a chunk without its data.
 	chunkOverhead = 512
-	// dumpLimit bounds the memory that a faulty snapshot can take when it is decompressed.
-	dumpLimit = 256 << 20
+	// dumpLimit bounds the memory that a faulty snapshot can take when it is decompressed. A node has 256 MB.
+	dumpLimit = 64 << 20
 )
 
 type (
@@ -43,7 +43,6 @@
 		Services map[string]traffic   `json:"services"`
 		DomainIn map[string]time.Time `json:"domainIn"`
 		Outcomes []Outcome            `json:"outcomes"` // in log order
-		First    uint64               `json:"first"`    // number of the first outcome
 	}
 
 	dumpObject struct {
