Keep the body hash with outcomes and hold twice appended claims by their newer record

Reading the reduction for it showed that a claim appended twice was dropped with its first record, while a holder that loads later finds the second. Change: outcomes carry the body's hash; a second record of a claim moves its retention forward. Conclusion: mismatches are found as long as any record of the first request is retained.

--- a/claim/client.go
+++ b/claim/client.go
@@ -49,7 +49,7 @@
 		mu      sync.Mutex
 		random  *rand.Rand
 		closed  bool
-		asks    map[claimed]string
+		asks    map[claimed]Settled // without outcome
 		queues  [Partitions]queue
 		waiting int // outcomes in all queues
 		idle    chan struct{}
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		clock: clock, directory: d, local: local, transport: t, stop: ctx, cancel: cancel,
-		random: rand.New(source), asks: make(map[claimed]string),
+		random: rand.New(source), asks: make(map[claimed]Settled),
 	}
 }
 
@@ -162,6 +162,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.asks) < maxAsks {
-		c.asks[claimed{r.Key, r.RequestID}] = ask
+		c.asks[claimed{r.Key, r.RequestID}] = Settled{
+			Ask: ask, Key: r.Key, BodyHash: r.BodyHash, RequestID: r.RequestID,
+		}
 	}
 }
--- a/claim/holder.go
+++ b/claim/holder.go
@@ -106,8 +106,8 @@
 	ops := make([]*operation, 0, len(args.Settled))
 	for _, s := range args.Settled {
 		ops = append(ops, &operation{done: make(chan struct{}), record: record{
-			Schema: Schema, Kind: kindSettle, Ask: s.Ask, Key: s.Key, RequestID: s.RequestID,
-			Outcome: s.Outcome, Status: s.Status,
+			Schema: Schema, Kind: kindSettle, Ask: s.Ask, Key: s.Key, BodyHash: s.BodyHash,
+			RequestID: s.RequestID, Outcome: s.Outcome, Status: s.Status,
 		}})
 	}
 	if err := h.submit(args.Partition, ops...); err != nil {
--- a/claim/message.go
+++ b/claim/message.go
@@ -36,10 +36,12 @@
 		Wait      time.Duration
 	}
 
-	// Settled is the outcome of the claim named by Ask.
+	// Settled is the outcome of the claim named by Ask. It carries the hash of the body, so that a mismatch is
+	// still found when the log retains the outcome but no longer the claim.
 	Settled struct {
 		Ask       string
 		Key       string
+		BodyHash  string
 		RequestID string
 		Outcome   shunt.Outcome
 		Status    int
--- a/claim/settle.go
+++ b/claim/settle.go
@@ -11,15 +11,14 @@
 // Settle implements shunt.Claimer. Only the Client that got the verdict ClaimFirst can settle the claim.
 func (c *Client) Settle(s shunt.Settlement) {
 	c.mu.Lock()
-	ask, ok := c.asks[claimed{s.Key, s.RequestID}]
+	won, ok := c.asks[claimed{s.Key, s.RequestID}]
 	delete(c.asks, claimed{s.Key, s.RequestID})
 	c.mu.Unlock()
 	if !ok {
 		return
 	}
-	c.enqueue(Partition(s.Key), Settled{
-		Ask: ask, Key: s.Key, RequestID: s.RequestID, Outcome: s.Outcome, Status: s.Status,
-	})
+	won.Outcome, won.Status = s.Outcome, s.Status
+	c.enqueue(Partition(s.Key), won)
 }
 
 // Flush waits until all outcomes are in the log or the context ends.
--- a/claim/window.go
+++ b/claim/window.go
@@ -23,7 +23,7 @@
 	holding struct {
 		ask       string
 		requestID string
-		bodyHash  string // empty when only the settle record is retained
+		bodyHash  string
 		at        time.Time
 		offset    shunt.Offset // of the newest record of this claim
 		settled   bool
@@ -77,6 +77,9 @@
 		w.hold(r.Key, h)
 	case current.ask != r.Ask:
 		current.later = h
+	default: // appended twice: it is retained as long as the newer record
+		current.offset = offset
+		w.hold(r.Key, current)
 	}
 }
 
@@ -95,7 +98,7 @@
 		return
 	}
 	if h == nil { // the claim is no longer retained, but the request ran
-		h = &holding{ask: r.Ask, requestID: r.RequestID, at: r.At}
+		h = &holding{ask: r.Ask, requestID: r.RequestID, bodyHash: r.BodyHash, at: r.At}
 	}
 	if h.ask != r.Ask {
 		return
@@ -146,7 +149,7 @@
 		return shunt.ClaimAnswer{}, false
 	case h.ask == r.Ask:
 		return shunt.ClaimAnswer{Verdict: shunt.ClaimFirst, RequestID: h.requestID}, true
-	case h.bodyHash != "" && h.bodyHash != r.BodyHash:
+	case h.bodyHash != r.BodyHash:
 		return shunt.ClaimAnswer{Verdict: shunt.ClaimMismatch, RequestID: h.requestID}, true
 	}
 	a := shunt.ClaimAnswer{Verdict: shunt.ClaimRepeat, State: shunt.ClaimUnknown, RequestID: h.requestID}
--- a/claim/window_test.go
+++ b/claim/window_test.go
@@ -20,9 +20,9 @@
 )
 
 // entry writes a record as another holder or an earlier program would have written it.
-func entry(kind, ask, body string, o shunt.Outcome) []byte {
+func entry(kind, ask string, o shunt.Outcome) []byte {
 	data, err := json.Marshal(map[string]any{
-		"schema": 1, "kind": kind, "ask": ask, "key": "k", "bodyHash": body, "requestId": "r-" + ask,
+		"schema": 1, "kind": kind, "ask": ask, "key": "k", "bodyHash": "x", "requestId": "r-" + ask,
 		"at": time.Now(), "outcome": o, "status": 200,
 	})
 	if err != nil {
@@ -33,8 +33,8 @@
 
 // Guards against a holder that reduces a given log differently from the others.
 func TestVerdictFromTheLog(t *testing.T) {
-	took := func(ask string) []byte { return entry("claim", ask, "x", 0) }
-	ended := func(ask string, o shunt.Outcome) []byte { return entry("settle", ask, "", o) }
+	took := func(ask string) []byte { return entry("claim", ask, 0) }
+	ended := func(ask string, o shunt.Outcome) []byte { return entry("settle", ask, o) }
 	first, repeat := shunt.ClaimFirst, shunt.ClaimRepeat
 	tests := []struct {
 		name     string
@@ -78,21 +78,23 @@
 }
 
 // Guards against a second first after the log dropped the claim that two holders disagree on: one dropped
-// it before it saw the next claim, the other after.
-func TestLosingClaimTakesOverWhenTheWinnerExpires(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		log := mlog.New(clockwork.NewRealClock(), mlog.Limits{})
-		h := claim.NewHolder(clockwork.NewRealClock(), log, 0)
-		defer h.Close()
-		fill(t, log, entry("claim", "1", "x", 0), entry("claim", "2", "x", 0))
-		if a, err := take(h, "me", "x"); err != nil || a.RequestID != "r-1" {
-			t.Fatalf("before: %+v, %v", a, err)
-		}
-		log.Truncate(claim.Stream(claim.Partition("k")), 2)
-		if a, err := take(h, "me", "x"); err != nil || a.Verdict != shunt.ClaimRepeat || a.RequestID != "r-2" {
-			t.Errorf("after: %+v, %v; want a repeat of r-2", a, err)
-		}
-	})
+// it before it saw the next claim, the other after. A claim appended twice is held by its second record.
+func TestNextClaimTakesOverWhenTheFirstExpires(t *testing.T) {
+	for _, next := range []string{"1", "2"} {
+		synctest.Test(t, func(t *testing.T) {
+			log := mlog.New(clockwork.NewRealClock(), mlog.Limits{})
+			h := claim.NewHolder(clockwork.NewRealClock(), log, 0)
+			defer h.Close()
+			fill(t, log, entry("claim", "1", 0), entry("claim", next, 0))
+			if a, err := take(h, "me", "x"); err != nil || a.RequestID != "r-1" {
+				t.Fatalf("before: %+v, %v", a, err)
+			}
+			log.Truncate(claim.Stream(claim.Partition("k")), 2)
+			if a, err := take(h, "me", "x"); err != nil || a.Verdict != shunt.ClaimRepeat || a.RequestID != "r-"+next {
+				t.Errorf("after: %+v, %v; want a repeat of r-%s", a, err, next)
+			}
+		})
+	}
 }
 
 // Guards against an append rate that grows with requests, and memory that grows beyond the retention.
