Bound the attempts of a chain in the call path itself

Cause: proxy and retry were written side by side; the header Retries-Used carried one number in one and 'extra/attempts' in the other, and an adapter lost the attempts, without which the bound of d + allowance does not hold. Change: proxy uses retry's budget, allowance, decision and deadline arithmetic; the adapter and proxy's own copies of them are gone. A server's answer that says nothing of retries counts as 0/0 at its own node.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -179,7 +179,7 @@
 		Picker:    p,
 		Claimer:   cl,
 		Counter:   n,
-		Budget:    budget{b},
+		Budget:    b,
 		Pool:      pool,
 		Local:     in,
 		Clock:     c,
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -9,6 +9,7 @@
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/link"
+	"tanagershunt.example/shunt/retry"
 )
 
 // attempt is one try of a call at one server.
@@ -43,7 +44,7 @@
 		}
 		c.tried = append(c.tried, m.Control)
 		resp, f := c.try(m, n)
-		if !c.retry(resp, f) {
+		if !c.retry(resp, f, n) {
 			return resp, c.worst(f)
 		}
 		if held = resp; resp != nil {
@@ -66,19 +67,32 @@
 	return f
 }
 
-// retry reports whether another attempt is safe and allowed. Without a failure, the answer of a server that
-// refuses load is worth another attempt on a repeatable route.
-func (c *call) retry(resp *http.Response, f *failure) bool {
-	var safe bool
+// retry reports whether another attempt is safe and allowed, and takes what it costs. Without a failure, the
+// answer of a server that refuses load is worth another attempt on a repeatable route.
+func (c *call) retry(resp *http.Response, f *failure, attempts int) bool {
+	outcome := shunt.OutcomeUnknown
 	switch {
+	case f == nil && !shed(resp.StatusCode):
+		outcome = shunt.OutcomeOK
 	case f == nil:
-		safe = c.target.Contract.Repeatable && shed(resp.StatusCode)
+		outcome = shunt.OutcomeFailed
+	case f.outcome == OutcomeNotRun && f.status != http.StatusServiceUnavailable:
+		return false // every server would refuse it
 	case f.outcome == OutcomeNotRun:
-		safe = f.status == http.StatusServiceUnavailable
-	default:
-		safe = c.target.Contract.Repeatable
+		outcome = shunt.OutcomeNotRun
+	}
+	if c.ctx.Err() != nil || c.payload.failed() {
+		return false
 	}
-	return safe && c.ctx.Err() == nil && !c.payload.failed() && c.payload.again() && c.retries.Again()
+	decision := retry.Decide(retry.Attempt{
+		Contract:  c.target.Contract,
+		Outcome:   outcome,
+		Enough:    c.allowance.Enough(),
+		Tokens:    c.out.Budget.Tokens(),
+		Remaining: timeLeft(c.ctx, c.out.Clock),
+		Attempts:  attempts,
+	})
+	return decision == retry.ReasonRetry && c.payload.again() && c.out.Budget.Take() && c.allowance.Retry()
 }
 
 // try sends the request to one server. It returns either an answer or a failure.
@@ -87,11 +101,17 @@
 	c.out.Picker.Started(m.Control)
 	resp, f := a.send(n)
 	a.sample.Latency = c.out.Clock.Since(a.sent)
-	c.retries.Returned(usedBy(resp))
+	used := usedBy(resp, f, c.allowance.Pass())
 	if f != nil {
+		c.allowance.Failed(used)
 		a.fail(f)
 		return nil, f
 	}
+	if shed(resp.StatusCode) {
+		c.allowance.Failed(used)
+	} else {
+		c.allowance.Succeeded(used)
+	}
 	a.answer(resp)
 	return resp, nil
 }
@@ -158,9 +178,9 @@
 	set(h, [][2]string{
 		{HeaderRequestID, c.id},
 		{HeaderAttempt, strconv.Itoa(n)},
-		{HeaderTimeout, remaining(c.ctx, c.out.Clock)},
+		{HeaderTimeout, retry.FormatTimeout(retry.NextHop(timeLeft(c.ctx, c.out.Clock)))},
 		{HeaderHops, strconv.Itoa(c.hops)},
-		{HeaderRetriesLeft, strconv.Itoa(c.retries.Left())},
+		{HeaderRetriesLeft, strconv.Itoa(c.allowance.Pass())},
 		{HeaderClass, c.target.Contract.Class.String()},
 		{HeaderRoute, c.target.Route},
 		{HeaderVersion, c.target.Version},
@@ -212,14 +232,15 @@
 	c.out.Picker.Finished(a.member.Control, a.sample, a.load)
 }
 
-// usedBy returns what an attempt says that it used of the retry allowance, -1 when there is no answer.
-func usedBy(resp *http.Response) int {
-	if resp == nil {
-		return -1
-	}
-	n, err := strconv.Atoi(resp.Header.Get(HeaderRetriesUsed))
-	if err != nil {
-		return 0
+// usedBy returns what an attempt used below itself of the allowance that was passed on to it. Without an
+// answer that says so, it counts as all.
+func usedBy(resp *http.Response, f *failure, passed int) retry.Used {
+	switch {
+	case f != nil && f.outcome == OutcomeNotRun:
+		return retry.Used{}
+	case resp == nil:
+		return retry.Lost(passed)
+	default:
+		return retry.ParseUsed(resp.Header.Get(HeaderRetriesUsed), passed)
 	}
-	return max(n, 0)
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -12,6 +12,7 @@
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/link"
+	"tanagershunt.example/shunt/retry"
 	"tanagershunt.example/shunt/server"
 )
 
@@ -172,7 +173,7 @@
 	u.Scheme, u.Host = "http", c.record.Address
 	h := forwardableRequest(c.req.Header)
 	delete(h, HeaderLoad)
-	h[HeaderTimeout] = []string{remaining(c.ctx, c.in.Clock)}
+	h[HeaderTimeout] = []string{retry.FormatTimeout(timeLeft(c.ctx, c.in.Clock))}
 	out := &http.Request{
 		Method: c.req.Method, URL: &u, Host: c.req.Host, Header: h,
 		ContentLength: c.req.ContentLength, Trailer: c.req.Trailer, Body: http.NoBody,
@@ -223,6 +224,10 @@
 func (c *run) answer(resp *http.Response) {
 	resp.Header = forwardable(resp.Header)
 	strip(resp.Header, HeaderRetriesUsed)
+	if resp.Header.Get(HeaderRetriesUsed) == "" {
+		// A server that makes calls of its own passes Retries-Left on and adds up what they used.
+		resp.Header[HeaderRetriesUsed] = []string{retry.Used{}.String()}
+	}
 	c.in.mark(resp.Header, c.id)
 	resp.Header[HeaderVersion] = []string{c.record.Version}
 	c.sample.Shed = shed(resp.StatusCode)
@@ -270,7 +275,7 @@
 	if h.Get(HeaderTimeout) == "" {
 		return defaultTimeout
 	}
-	return timeout(h, maxTimeout)
+	return retry.ParseTimeout(h.Get(HeaderTimeout), maxTimeout)
 }
 
 // shed reports whether a status means that the server refused the request because of load.
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -14,31 +14,13 @@
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/link"
+	"tanagershunt.example/shunt/retry"
 )
 
 // maxID bounds a request identifier that a caller brings.
 const maxID = 128
 
 type (
-	// Retries follows the attempts of one request. It is used by one goroutine.
-	Retries interface {
-		// Left returns the allowance that the next attempt passes on.
-		Left() int
-		// Returned notes what an attempt used of the allowance that was passed on to it; a negative number
-		// means that its answer was lost, and counts as all.
-		Returned(used int)
-		// Again reports whether one more attempt may be made, and takes it from the allowance and the budget.
-		Again() bool
-		// Used returns what the request has used so far, including what its attempts passed on.
-		Used() int
-	}
-
-	// Budget gives each request its Retries.
-	Budget interface {
-		// Start counts a request. Left is the allowance that it brings, negative when it brings none.
-		Start(left int) Retries
-	}
-
 	// OutboundConfig names the collaborators of an Outbound. The fields from Draw on have defaults.
 	OutboundConfig struct {
 		Source    shunt.Source
@@ -46,7 +28,7 @@
 		Picker    shunt.Picker
 		Claimer   shunt.Claimer
 		Counter   shunt.Counter
-		Budget    Budget
+		Budget    *retry.Budget
 		Pool      *link.Pool        // connections to other nodes
 		Local     http.RoundTripper // the node's own inbound half
 		Clock     clockwork.Clock
@@ -63,18 +45,18 @@
 
 	// call is one request of a caller.
 	call struct {
-		out     *Outbound
-		req     *http.Request
-		ctx     context.Context
-		id      string
-		hops    int
-		target  shunt.Target
-		offset  shunt.Offset
-		payload payload
-		retries Retries
-		claim   *shunt.ClaimRequest
-		tried   []string // control addresses of the servers tried
-		maybe   bool     // an attempt may have run
+		out       *Outbound
+		req       *http.Request
+		ctx       context.Context
+		id        string
+		hops      int
+		target    shunt.Target
+		offset    shunt.Offset
+		payload   payload
+		allowance *retry.Allowance
+		claim     *shunt.ClaimRequest
+		tried     []string // control addresses of the servers tried
+		maybe     bool     // an attempt may have run
 	}
 )
 
@@ -109,7 +91,7 @@
 		relay(w, f.response(c.id)) //nolint:bodyclose // relay closes it
 		return
 	}
-	left := timeout(r.Header, c.limit())
+	left := retry.ParseTimeout(r.Header.Get(HeaderTimeout), c.limit())
 	if left <= 0 {
 		relay(w, c.refuse(notRun("no time left"))) //nolint:bodyclose // relay closes it
 		return
@@ -155,7 +137,8 @@
 	if f := c.claimKey(); f != nil {
 		return c.refuse(f)
 	}
-	c.retries = c.out.Budget.Start(retriesLeft(c.req.Header))
+	c.out.Budget.Call()
+	c.allowance = retry.NewAllowance(retry.ParseLeft(c.req.Header.Get(HeaderRetriesLeft)))
 	resp, f := c.attempts()
 	c.settle(resp, f)
 	if f != nil {
@@ -163,7 +146,7 @@
 	}
 	h := resp.Header
 	h[HeaderConfig] = []string{strconv.FormatUint(uint64(c.offset), 10)}
-	h[HeaderRetriesUsed] = []string{strconv.Itoa(c.retries.Used())}
+	h[HeaderRetriesUsed] = []string{c.allowance.Used().String()}
 	delete(h, HeaderLoad)
 	return resp
 }
@@ -206,14 +189,6 @@
 	return id
 }
 
-func retriesLeft(h http.Header) int {
-	n, err := strconv.Atoi(h.Get(HeaderRetriesLeft))
-	if err != nil {
-		return -1
-	}
-	return max(n, 0)
-}
-
 // dotSegments reports whether a path names a parent or the same directory. A backend server that resolves
 // them would run a request under another route's contract.
 func dotSegments(path string) bool {
--- a/proxy/wire.go
+++ b/proxy/wire.go
@@ -29,26 +29,13 @@
 	return n
 }
 
-// timeout returns the smaller of the time that a request brings and a limit.
-func timeout(h http.Header, limit time.Duration) time.Duration {
-	v := h.Get(HeaderTimeout)
-	if v == "" {
-		return limit
-	}
-	ms, err := strconv.ParseInt(v, 10, 64)
-	if err != nil || ms > limit.Milliseconds() {
-		return limit
-	}
-	return time.Duration(max(ms, 0)) * time.Millisecond
-}
-
-// remaining returns the time until the context's deadline in whole milliseconds.
-func remaining(ctx context.Context, clock clockwork.Clock) string {
+// timeLeft returns the time until the context's deadline.
+func timeLeft(ctx context.Context, clock clockwork.Clock) time.Duration {
 	d, ok := ctx.Deadline()
 	if !ok {
-		return strconv.FormatInt(defaultTimeout.Milliseconds(), 10)
+		return defaultTimeout
 	}
-	return strconv.FormatInt(max(d.Sub(clock.Now()).Milliseconds(), 0), 10)
+	return d.Sub(clock.Now())
 }
 
 // parseLoad returns nil when an answer carries no load.
