Let a node that knows none of its failure domain ask for all members

Loopback starts of 12 nodes in 2 failure domains took up to 21.9 s in 8 runs: a node that joined through another failure domain's seed linked for that domain's members only, and its own domain's readers did the same, so nobody told them of each other before the comparison of whole tables 100 s later.

--- a/relay/hub_test.go
+++ b/relay/hub_test.go
@@ -80,7 +80,7 @@
 func TestJoin(t *testing.T) {
 	for seed := range uint64(5) {
 		synctest.Test(t, func(t *testing.T) {
-			m := newMesh(t, seed, mlog.Limits{}, "a:24")
+			m := newMesh(t, seed, mlog.Limits{}, "a:24", "b:4")
 			defer m.stop()
 			m.mu.Lock()
 			m.delay = 400 * time.Millisecond // nodes learn of one another in different orders
@@ -89,7 +89,7 @@
 				m.crash(m.nodes[a])
 				m.start(m.nodes[a])
 			}
-			m.until(joinBound, "join", func(h *Hub) bool { return h.table.Len() == 24 && at(0)(h) })
+			m.until(joinBound, "join", func(h *Hub) bool { return h.table.Len() == 28 && at(0)(h) })
 		})
 	}
 }
--- a/relay/link.go
+++ b/relay/link.go
@@ -145,11 +145,7 @@
 }
 
 func (l *link) fetch(ctx context.Context, peer string) error {
-	c := l.cursors[peer]
-	if c == nil {
-		c = &cursors{}
-		l.cursors[peer] = c
-	}
+	c, only := l.cursor(peer)
 	l.polls++
 	if l.polls%exchangeEvery == 0 {
 		if err := l.exchange(ctx, peer); err != nil {
@@ -163,12 +159,23 @@
 	}
 	args := l.hub.fetchArgs(c, wait)
 	args.NoRecords, args.Lost = !down, c.lost
-	if l.domain != l.hub.self.Domain {
-		args.Only = l.domain
-	}
+	args.Only = only
 	return l.poll(ctx, peer, c, args)
 }
 
+// cursor returns the position in a reader's list and the failure domain whose members are asked for. A node
+// that knows no other of its own failure domain asks for all, since only other ones can tell it of them.
+func (l *link) cursor(peer string) (c *cursors, only string) {
+	if own := l.hub.self.Domain; l.domain != own && len(l.hub.table.Live(own)) > 1 {
+		only = l.domain
+	}
+	key := peer + " " + only
+	if l.cursors[key] == nil {
+		l.cursors[key] = &cursors{}
+	}
+	return l.cursors[key], only
+}
+
 // exchange compares the whole tables by the digests of the failure domains.
 func (l *link) exchange(ctx context.Context, peer string) error {
 	c := &cursors{}
--- a/relay/seed.go
+++ b/relay/seed.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/member"
@@ -48,10 +49,11 @@
 // join reaches other nodes through the seeds, so that the role is chosen and calls are served with their
 // members and facts known.
 func (h *Hub) join(ctx context.Context) {
-	end := h.clock.Now().Add(joinTime)
+	ctx, cancel := clockwork.WithTimeout(ctx, h.clock, joinTime)
+	defer cancel()
 	for failures := 1; ctx.Err() == nil; failures++ {
 		seeds, complete := h.seeds(ctx)
-		if h.joinThrough(ctx, seeds) || (complete && len(seeds) == 0) || h.clock.Now().After(end) {
+		if h.joinThrough(ctx, seeds[:min(len(seeds), seedMembers)]) || (complete && len(seeds) == 0) {
 			break
 		}
 		h.backoff(ctx, failures)
@@ -106,17 +108,19 @@
 	return list, err == nil
 }
 
-// joinThrough takes over members and facts from the first seed that answers, and announces this node to it.
-func (h *Hub) joinThrough(ctx context.Context, seeds []string) bool {
+// joinThrough takes over members and facts from seeds and announces this node to them, until one knows other
+// nodes of the own failure domain.
+func (h *Hub) joinThrough(ctx context.Context, seeds []string) (joined bool) {
 	for _, seed := range seeds {
 		if ctx.Err() != nil {
-			return false
+			return joined
 		}
-		if h.copyFrom(ctx, seed) == nil {
+		joined = h.copyFrom(ctx, seed) == nil || joined
+		if joined && len(h.table.Live(h.self.Domain)) > 1 {
 			return true
 		}
 	}
-	return false
+	return joined
 }
 
 func (h *Hub) copyFrom(ctx context.Context, seed string) error {
