--- a/relay/child.go
+++ b/relay/child.go
@@ -37,7 +37,7 @@
 		}
 		failures++
 		if parent != "" {
-			h.avoid(parent, BackoffCap/2+h.jitter.backoff(h.failures(parent)+1))
+			h.avoid(parent, BackoffCap/2+h.jitter.backoff(h.failures(parent)+1), false)
 			log.WithFields(log.Fields{"parent": parent, "error": err.Error()}).Debug("parent failed")
 		}
 		h.backoff(ctx, failures)
@@ -60,7 +60,7 @@
 	}
 	h.refresh(&reply)
 	if reply.Stale >= StaleLimit {
-		h.avoid(parent, h.jitter.around(StaleLimit))
+		h.avoid(parent, h.jitter.around(StaleLimit), true)
 	} else {
 		h.trust(parent)
 	}
--- a/relay/parent.go
+++ b/relay/parent.go
@@ -27,6 +27,7 @@
 	failure struct {
 		count int
 		until time.Time
+		stale bool // the node answered, but has lost touch with the log
 	}
 
 	// cursors is the position of a node in another node's lists.
@@ -58,54 +59,62 @@
 	return h.table.Holders("relay", h.self.Domain, int(math.Ceil(math.Sqrt(float64(n)))))
 }
 
-// candidates returns the nodes to fetch from, the preferred first.
-func (h *Hub) candidates(role Role) []string {
+// candidates returns the nodes to fetch from, the preferred first, and apart from them those that serve only
+// when none of the first answers: they are no readers or relays themselves and may depend on this node.
+func (h *Hub) candidates(role Role) (list, rest []string) {
 	readers := controls(h.table.Holders(member.RoleReader, h.self.Domain, topReaders))
 	active := readers[:min(len(readers), member.Readers)]
-	var list []string
 	if role == RoleLeaf {
 		relays := slices.DeleteFunc(controls(h.relays()), func(c string) bool { return slices.Contains(active, c) })
 		list = append(list, member.Rank(h.self.Control, relays)...)
 	}
 	list = append(list, member.Rank(h.self.Control, active)...)
-	list = append(list, readers[len(active):]...)
-	list = append(list, h.opts.Seeds...)
-	return slices.DeleteFunc(list, func(c string) bool { return c == h.self.Control })
+	rest = append(slices.Clone(readers[len(active):]), h.opts.Seeds...)
+	return slices.DeleteFunc(list, h.isSelf), slices.DeleteFunc(rest, h.isSelf)
 }
 
-// pickParent returns the first candidate that did not fail lately, or else the one whose pause ends first.
+// pickParent returns the first candidate that is neither failing nor stale; when all that answer are stale, as in
+// an outage of the log, the preferred one of them; and when none answers the one whose pause ends first.
 func (h *Hub) pickParent(role Role) (string, error) {
-	list := h.candidates(role)
-	if len(list) == 0 {
+	list, rest := h.candidates(role)
+	if len(list)+len(rest) == 0 {
 		return "", errNoParent
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock.Now()
-	best := list[0]
-	for _, c := range list {
-		f, ok := h.parents.failed[c]
-		if !ok || !f.until.After(now) {
-			best = c
-			break
-		}
-		if f.until.Before(h.parents.failed[best].until) {
-			best = c
-		}
+	fresh := func(c string) bool { return !h.parents.failed[c].until.After(now) }
+	answers := func(c string) bool { return fresh(c) || h.parents.failed[c].stale }
+	best := slices.IndexFunc(list, fresh)
+	if best < 0 {
+		best = slices.IndexFunc(list, answers)
+	}
+	if best < 0 {
+		list = append(list, rest...)
+		best = slices.IndexFunc(list, fresh)
 	}
-	if h.parent != best {
-		h.parent = best
+	if best < 0 {
+		first := slices.MinFunc(list, func(a, b string) int {
+			return h.parents.failed[a].until.Compare(h.parents.failed[b].until)
+		})
+		best = slices.Index(list, first)
+	}
+	parent := list[best]
+	if h.parent != parent {
+		h.parent = parent
 		h.up.notify() // a new parent has to learn what the former one was told
 	}
-	return best, nil
+	return parent, nil
 }
 
 // avoid keeps a node from being picked for some time.
-func (h *Hub) avoid(control string, pause time.Duration) {
+func (h *Hub) avoid(control string, pause time.Duration, stale bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := h.parents.failed[control]
-	f.count++
+	if f.stale = stale; !stale {
+		f.count++
+	}
 	f.until = h.clock.Now().Add(pause)
 	h.parents.failed[control] = f
 }
