--- /dev/null
+++ b/agent/mesh_test.go
@@ -0,0 +1,369 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conf"
+	"tanagershunt.example/shunt/link"
+	"tanagershunt.example/shunt/logkv"
+	"tanagershunt.example/shunt/mlog"
+	"tanagershunt.example/shunt/opapi"
+	"tanagershunt.example/shunt/params"
+	"tanagershunt.example/shunt/peer"
+	"tanagershunt.example/shunt/stub"
+)
+
+const (
+	// patience bounds every wait of a test. It is far above what any step takes, so that a slow machine
+	// changes no verdict.
+	patience = 60 * time.Second
+	// pollEvery is the interval at which a wait looks at its condition.
+	pollEvery = 20 * time.Millisecond
+	// killTime bounds the stop of a killed node, whose last reports can't leave it.
+	killTime = 200 * time.Millisecond
+	// notice is the time between a stop's announcement and its refusals in tests of graceful stops.
+	notice = 2 * time.Second
+)
+
+type (
+	// mesh is a log, nodes and backend servers in this process, over loopback.
+	mesh struct {
+		t       *testing.T
+		log     *mlog.Log
+		logURL  string
+		members []*instance
+	}
+
+	// instance is a node and the backend server beside it, if any.
+	instance struct {
+		app      *App
+		settings params.Node
+		client   *opapi.Client
+		server   *stub.Server
+		address  string // of the backend server
+		cut      func() // ends all connections of the node
+		stopped  bool
+	}
+
+	// tracked is a listener whose accepted connections can be closed all at once.
+	tracked struct {
+		net.Listener
+		mu     sync.Mutex
+		conns  []net.Conn
+		closed bool
+	}
+
+	// severable is a log that a killed node no longer reaches.
+	severable struct {
+		shunt.Log
+		ctx context.Context
+	}
+)
+
+func TestMain(m *testing.M) {
+	logkv.Setup(os.Stderr, "fatal")
+	os.Exit(m.Run())
+}
+
+// newMesh starts a log and, for each failure domain named, a node beside a server of catalogue-1, and waits
+// until the configuration is in force and all servers are known everywhere.
+func newMesh(t *testing.T, domains ...string) *mesh {
+	t.Helper()
+	m := &mesh{t: t, log: mlog.New(clockwork.NewRealClock(), mlog.Limits{})}
+	srv := &http.Server{Handler: mlog.Handler(m.log), ReadHeaderTimeout: patience}
+	m.logURL = "http://" + m.serve(srv.Serve, func() { srv.Close() })
+	for _, d := range domains {
+		m.start(m.settings(d), &stub.Behaviour{
+			Service: "catalogue", Version: "catalogue-1", Slots: 8, Latency: 5 * time.Millisecond,
+		})
+	}
+	if r := m.publish(m.members[0], "start", objects(slices.Clone(domains))...); r.Result != opapi.ResultPublished {
+		t.Fatalf("first publish: %+v", r)
+	}
+	m.converged()
+	return m
+}
+
+// objects returns a service with a repeatable route and one whose requests must run at most once.
+func objects(domains []string) []conf.Object {
+	set := []conf.Object{
+		conf.New("catalogue", &conf.Service{Version: "catalogue-1"}),
+		conf.New("catalogue-1", &conf.Version{Service: "catalogue"}),
+		conf.New("browse", &conf.Route{Service: "catalogue", Prefix: "/catalogue", Repeatable: true}),
+		conf.New("order", &conf.Route{Service: "catalogue", Prefix: "/order"}),
+	}
+	slices.Sort(domains)
+	for _, d := range slices.Compact(domains) {
+		set = append(set, conf.New(d, &conf.Domain{Region: "attica"}))
+	}
+	return set
+}
+
+func (m *mesh) settings(domain string) params.Node {
+	const free = "127.0.0.1:0"
+	s := params.Node{
+		Domain: domain, Region: "attica", Log: m.logURL,
+		Listeners:   params.Listeners{Callers: free, Calls: free, Control: free, Operators: free, Servers: free},
+		Notice:      params.Duration(notice),
+		StopTimeout: params.Duration(patience),
+	}
+	for _, x := range m.members {
+		s.Seeds = append(s.Seeds, x.app.Addresses().Control)
+	}
+	return s
+}
+
+// start starts a node and, with a behaviour, a backend server that announces itself to it.
+func (m *mesh) start(s params.Node, b *stub.Behaviour) *instance {
+	m.t.Helper()
+	x := &instance{settings: s}
+	var links *link.Pool
+	var pool *peer.Pool
+	var open *listeners
+	severed, sever := context.WithCancel(context.Background())
+	m.t.Cleanup(sever)
+	app, err := Start(
+		m.t.Context(), s,
+		fx.Decorate(func(l shunt.Log) shunt.Log { return severable{l, severed} }, track),
+		fx.Populate(&links, &pool, &open),
+	)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	x.app = app
+	x.client = opapi.NewClient(app.Addresses().Operators, patience)
+	x.cut = func() {
+		sever()
+		pool.Close()
+		for _, l := range []net.Listener{open.callers, open.calls, open.control, open.operators, open.servers} {
+			l.(*tracked).kill()
+		}
+		links.Close()
+	}
+	m.members = append(m.members, x)
+	m.t.Cleanup(func() { m.kill(x) })
+	if b != nil {
+		m.announce(x, *b, uint64(len(m.members)))
+	}
+	return x
+}
+
+func (m *mesh) announce(x *instance, b stub.Behaviour, seed uint64) {
+	m.t.Helper()
+	x.server = stub.New(b, clockwork.NewRealClock(), seed)
+	ctx, cancel := context.WithCancel(context.Background())
+	x.address = m.serve(func(l net.Listener) error {
+		x.server.Serve(ctx, l)
+		return nil
+	}, cancel)
+	if err := x.server.Announce(m.t.Context(), x.app.Addresses().Servers, x.address); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// stop stops a node gracefully.
+func (m *mesh) stop(x *instance) {
+	m.t.Helper()
+	x.stopped = true
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := x.app.Stop(ctx); err != nil {
+		m.t.Errorf("stop of node %q: %v", x.app.Addresses().Control, err)
+	}
+}
+
+// kill ends a node as a crash does: nothing that it still has to say leaves it.
+func (m *mesh) kill(x *instance) {
+	if x.stopped {
+		return
+	}
+	x.stopped = true
+	x.cut()
+	ctx, cancel := context.WithTimeout(context.Background(), killTime)
+	defer cancel()
+	_ = x.app.Stop(ctx) // it can't settle or report anything any more
+}
+
+// restart starts a node without memory on the addresses of one that has ended.
+func (m *mesh) restart(x *instance, seeds ...string) *instance {
+	m.t.Helper()
+	a := x.app.Addresses()
+	s := x.settings
+	s.Seeds = seeds
+	s.Listeners = params.Listeners(a)
+	m.members = slices.DeleteFunc(m.members, func(y *instance) bool { return x == y })
+	again := m.start(s, nil)
+	if x.server != nil {
+		again.server, again.address = x.server, x.address
+		if err := again.server.Announce(m.t.Context(), again.app.Addresses().Servers, again.address); err != nil {
+			m.t.Fatal(err)
+		}
+	}
+	return again
+}
+
+func (m *mesh) serve(serve func(net.Listener) error, end func()) string {
+	m.t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(m.t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(end)
+	go serve(l) //nolint:errcheck // ends with the test
+	return l.Addr().String()
+}
+
+// publish publishes objects through a node, over the versions that this node has.
+func (m *mesh) publish(x *instance, id string, set ...conf.Object) opapi.PublishResponse {
+	m.t.Helper()
+	current, err := x.client.Objects(m.t.Context())
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	r := opapi.PublishRequest{ID: id, Base: make(map[string]shunt.Offset), Set: set}
+	for _, o := range set {
+		r.Base[o.Key().String()] = 0
+	}
+	for _, o := range current.Objects {
+		if _, ok := r.Base[o.Object.Key().String()]; ok {
+			r.Base[o.Object.Key().String()] = o.Version
+		}
+	}
+	answer, err := x.client.Publish(m.t.Context(), r)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return answer
+}
+
+// inForce publishes and waits until the publish is in force on all running nodes.
+func (m *mesh) inForce(x *instance, id string, set ...conf.Object) shunt.Offset {
+	m.t.Helper()
+	r := m.publish(x, id, set...)
+	if r.Result != opapi.ResultPublished {
+		m.t.Fatalf("publish %q: %+v", id, r)
+	}
+	m.until("publish "+id+" in force", func() bool {
+		f, err := x.client.InForce(m.t.Context(), r.Offset)
+		return err == nil && f.InForce >= len(m.running())
+	})
+	return r.Offset
+}
+
+func (m *mesh) running() []*instance {
+	var list []*instance
+	for _, x := range m.members {
+		if !x.stopped {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// converged waits until every node serves at one offset and knows all backend servers.
+func (m *mesh) converged() {
+	m.t.Helper()
+	servers := 0
+	for _, x := range m.running() {
+		if x.server != nil {
+			servers++
+		}
+	}
+	m.until("same offset and all servers on all nodes", func() bool {
+		offsets := make(map[shunt.Offset]bool)
+		for _, x := range m.running() {
+			s, err := x.client.Status(m.t.Context())
+			if err != nil || !s.Serving {
+				return false
+			}
+			ready := 0
+			for _, d := range s.Domains {
+				ready += d.Ready
+			}
+			if ready != servers {
+				return false
+			}
+			offsets[s.Offset] = true
+		}
+		return len(offsets) == 1 && !offsets[0]
+	})
+}
+
+// until polls a condition.
+func (m *mesh) until(what string, condition func() bool) {
+	m.t.Helper()
+	ctx, cancel := context.WithTimeout(m.t.Context(), patience)
+	defer cancel()
+	t := time.NewTicker(pollEvery)
+	defer t.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			m.t.Fatalf("not seen within %s: %s", patience, what)
+		case <-t.C:
+		}
+	}
+}
+
+func track(l *listeners) *listeners {
+	for _, x := range []*net.Listener{&l.callers, &l.calls, &l.control, &l.operators, &l.servers} {
+		*x = &tracked{Listener: *x}
+	}
+	return l
+}
+
+// Accept implements net.Listener.
+func (l *tracked) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, errors.Join(net.ErrClosed, c.Close())
+	}
+	l.conns = append(l.conns, c)
+	return c, nil
+}
+
+func (l *tracked) kill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.Close()
+	for _, c := range l.conns {
+		c.Close()
+	}
+}
+
+// Append implements shunt.Log.
+func (s severable) Append(ctx context.Context, stream string, data ...[]byte) (shunt.Offset, error) {
+	if s.ctx.Err() != nil {
+		return 0, shunt.ErrLogDown
+	}
+	return s.Log.Append(ctx, stream, data...)
+}
+
+// Read implements shunt.Log.
+func (s severable) Read(
+	ctx context.Context, stream string, from shunt.Offset, limit int, wait time.Duration,
+) (shunt.Batch, error) {
+	if s.ctx.Err() != nil {
+		return shunt.Batch{}, shunt.ErrLogDown
+	}
+	return s.Log.Read(ctx, stream, from, limit, wait)
+}
