Refuse one publish that takes out all servers of a service

Cause: the capacity check looked at each failure domain of a publish alone. A publish that took out several failure domains at once, which together held all servers of a service, was accepted without override.

Change: admin.Node.Lost takes all failure domains that a publish takes out.

--- a/admin/handler.go
+++ b/admin/handler.go
@@ -44,9 +44,9 @@
 		WriteMetrics(w io.Writer)
 		// Report writes the report on a service in a format: text, json or svg.
 		Report(ctx context.Context, w http.ResponseWriter, service string, from, to time.Time, format string) error
-		// Lost returns, for each service that would lose its last ready server with a failure domain, a
-		// problem that names it.
-		Lost(domain string) []conf.Problem
+		// Lost returns a problem for each service that would lose its last ready server with these failure
+		// domains together, and for each of them that holds servers of it.
+		Lost(domains []string) []conf.Problem
 	}
 
 	handler struct {
--- a/admin/publish.go
+++ b/admin/publish.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -109,18 +110,23 @@
 	return opapi.PublishResponse{}, true
 }
 
-// capacity refuses to take out a failure domain that holds the last ready servers of a service. The
+// capacity refuses to take out failure domains that together hold the last ready servers of a service. The
 // reduction can't check this, since it knows no servers.
 func (p *Publisher) capacity(req opapi.PublishRequest, current *state.State) []conf.Problem {
-	var problems []conf.Problem
+	var out []string
+	override := make(map[string]bool)
 	for _, o := range req.Set {
 		d, ok := o.Spec.(*conf.Domain)
-		if !ok || d.State != conf.DomainOut || d.Override || current.DomainOut(o.Name) {
+		if !ok || d.State != conf.DomainOut || current.DomainOut(o.Name) {
 			continue
 		}
-		problems = append(problems, p.node.Lost(o.Name)...)
+		out = append(out, o.Name)
+		override[o.Key().String()] = d.Override
 	}
-	return problems
+	if len(out) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(p.node.Lost(out), func(x conf.Problem) bool { return override[x.Object] })
 }
 
 func (p *Publisher) encode(req opapi.PublishRequest) ([]byte, error) {
--- a/agent/fleet.go
+++ b/agent/fleet.go
@@ -164,20 +164,27 @@
 func (f *fleet) members() []shunt.Member { return f.Table.Since(member.Query{}).Members }
 
 // Lost implements admin.Node.
-func (f *fleet) Lost(domain string) []conf.Problem {
+func (f *fleet) Lost(domains []string) []conf.Problem {
 	var problems []conf.Problem
 	for _, o := range f.Hub.Current().Objects(conf.KindService) {
 		servers := f.Table.Servers(o.Name, "")
-		left := slices.DeleteFunc(slices.Clone(servers), func(m shunt.Member) bool { return m.Domain == domain })
-		if len(servers) == 0 || len(left) > 0 {
+		if slices.ContainsFunc(servers, func(m shunt.Member) bool { return !slices.Contains(domains, m.Domain) }) {
 			continue
 		}
-		problems = append(problems, conf.Problem{
-			Object: conf.Key{Kind: conf.KindDomain, Name: domain}.String(),
-			Field:  "state",
-			Text: fmt.Sprintf("service %q would lose all of its %d ready servers; set override to take it out anyway",
-				o.Name, len(servers)),
-		})
+		for _, d := range domains {
+			if !slices.ContainsFunc(servers, func(m shunt.Member) bool { return m.Domain == d }) {
+				continue
+			}
+			problems = append(problems, conf.Problem{
+				Object: conf.Key{Kind: conf.KindDomain, Name: d}.String(),
+				Field:  "state",
+				Text: fmt.Sprintf(
+					"service %q would lose all of its %d ready servers; set override to take it out anyway",
+					o.Name,
+					len(servers),
+				),
+			})
+		}
 	}
 	return problems
 }
