Let a leaving backend server take requests until other nodes have heard

Cause: TestGracefulStop failed: a call got 503 not-run 'backend server is leaving', because a node refused at once what nodes that had not heard yet went on sending, and their retry budgets of 10% ran out.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -166,6 +166,7 @@
 		Pool:     p,
 		Clock:    c,
 		Domain:   s.Domain,
+		Notice:   time.Duration(s.Notice),
 	})
 }
 
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -33,9 +33,12 @@
 		Counter  shunt.Counter
 		Pool     *link.Pool // connections to the backend server
 		Clock    clockwork.Clock
-		Domain   string        // failure domain of this node
-		Ramp     time.Duration // time after which a server counts as warm, default 1m
-		Timeout  Timeout       // default context.WithTimeout
+		Domain   string // failure domain of this node
+		// Notice is the time for which a leaving backend server still gets requests, until other nodes have
+		// heard of it. Refusing them at once would use up the retry budgets of those nodes.
+		Notice  time.Duration
+		Ramp    time.Duration // time after which a server counts as warm, default 1m
+		Timeout Timeout       // default context.WithTimeout
 	}
 
 	// Inbound runs calls on the node's own backend server. It is the handler of the listener for calls, and
@@ -127,7 +130,7 @@
 		return notRun("no time left")
 	case c.record.Service == "":
 		return notRun("no backend server is announced")
-	case c.record.Leaving:
+	case c.record.Leaving && c.in.Clock.Since(c.record.LeavingAt) >= c.in.Notice:
 		return notRun("backend server is leaving")
 	case !c.record.Ready:
 		return notRun("backend server is not ready")
--- a/server/record.go
+++ b/server/record.go
@@ -28,7 +28,8 @@
 	Record struct {
 		Announcement
 		Leaving    bool
-		Ready      bool // whether it takes new requests
+		LeavingAt  time.Time // when it said so
+		Ready      bool      // whether it takes new requests
 		ReadySince time.Time
 		Starts     uint64 // raised whenever the server counts as newly started and therefore cold
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -106,7 +106,7 @@
 	if r.Service == "" || r.Leaving {
 		return
 	}
-	r.Leaving = true
+	r.Leaving, r.LeavingAt = true, s.clock.Now()
 	s.set(r)
 }
 
