Set the bound of the test of joining from a larger sample

The bound of 5 s came from 20 starts; one of 96 took 5.05 s under the race detector. It is 6 s now. With it the test still fails without the report of former readers (up to 8.9 s) and when a node asks only for another failure domain's own members and only one seed (up to 9.55 s). Two runs of all tests of member, peer, relay and fanout with -race pass.

--- a/relay/hub_test.go
+++ b/relay/hub_test.go
@@ -73,8 +73,10 @@
 	}, "a:30", "b:3", "c:1")
 }
 
-// joinBound is the time in which nodes that start together must know one another.
-const joinBound = 5 * time.Second
+// joinBound is the time in which nodes that start together must know one another. The slowest of 96 starts took
+// 5.05 s; without the report of former readers, or the members of a node's own failure domain from another one,
+// the slowest of 20 and of 40 took 8.9 s and 9.55 s.
+const joinBound = 6 * time.Second
 
 // Guards against many nodes that start together and know one another only in part for long.
 func TestJoin(t *testing.T) {
