--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,7 +148,7 @@
 	l shunt.Log, t *member.Table, p *peer.Pool, c clockwork.Clock, x seed,
 ) (*claim.Holder, *claim.Client, shunt.Claimer) {
 	holder := claim.NewHolder(c, l, 0)
-	client := claim.NewClient(c, t, holder, claimTransport{p}, rand.NewPCG(uint64(x), 2))
+	client := claim.NewClient(c, claimDirectory{t}, holder, claimTransport{p}, rand.NewPCG(uint64(x), 2))
 	return holder, client, client
 }
 
@@ -166,6 +166,7 @@
 		Pool:     p,
 		Clock:    c,
 		Domain:   s.Domain,
+		Notice:   time.Duration(s.Notice),
 	})
 }
 
@@ -179,7 +180,7 @@
 		Picker:    p,
 		Claimer:   cl,
 		Counter:   n,
-		Budget:    budget{b},
+		Budget:    b,
 		Pool:      pool,
 		Local:     in,
 		Clock:     c,
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -12,12 +12,15 @@
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/link"
+	"tanagershunt.example/shunt/retry"
 	"tanagershunt.example/shunt/server"
 )
 
 const (
 	// defaultTimeout bounds a request that brings no deadline and whose route has none.
 	defaultTimeout = 30 * time.Second
+	// maxTimeout bounds what another node may ask for. Its route's timeout is usually much shorter.
+	maxTimeout = time.Hour
 	// defaultRamp is the time after which a server counts as warm.
 	defaultRamp = time.Minute
 )
@@ -30,9 +33,12 @@
 		Counter  shunt.Counter
 		Pool     *link.Pool // connections to the backend server
 		Clock    clockwork.Clock
-		Domain   string        // failure domain of this node
-		Ramp     time.Duration // time after which a server counts as warm, default 1m
-		Timeout  Timeout       // default context.WithTimeout
+		Domain   string // failure domain of this node
+		// Notice is the time for which a leaving backend server still gets requests, until other nodes have
+		// heard of it. Refusing them at once would use up the retry budgets of those nodes.
+		Notice  time.Duration
+		Ramp    time.Duration // time after which a server counts as warm, default 1m
+		Timeout Timeout       // default context.WithTimeout
 	}
 
 	// Inbound runs calls on the node's own backend server. It is the handler of the listener for calls, and
@@ -93,7 +99,7 @@
 		in.gate.leave()
 		return in.refuse(id, f)
 	}
-	c.ctx, c.cancel = in.Timeout(r.Context(), timeout(r.Header, defaultTimeout))
+	c.ctx, c.cancel = in.Timeout(r.Context(), inboundTimeout(r.Header))
 	if f := c.admit(); f != nil {
 		c.cancel()
 		in.gate.leave()
@@ -120,11 +126,11 @@
 	switch {
 	case hops(c.req.Header) > MaxHops:
 		return tooManyHops()
-	case timeout(c.req.Header, defaultTimeout) <= 0:
+	case inboundTimeout(c.req.Header) <= 0:
 		return notRun("no time left")
 	case c.record.Service == "":
 		return notRun("no backend server is announced")
-	case c.record.Leaving:
+	case c.record.Leaving && c.in.Clock.Since(c.record.LeavingAt) >= c.in.Notice:
 		return notRun("backend server is leaving")
 	case !c.record.Ready:
 		return notRun("backend server is not ready")
@@ -170,7 +176,7 @@
 	u.Scheme, u.Host = "http", c.record.Address
 	h := forwardableRequest(c.req.Header)
 	delete(h, HeaderLoad)
-	h[HeaderTimeout] = []string{remaining(c.ctx, c.in.Clock)}
+	h[HeaderTimeout] = []string{retry.FormatTimeout(timeLeft(c.ctx, c.in.Clock))}
 	out := &http.Request{
 		Method: c.req.Method, URL: &u, Host: c.req.Host, Header: h,
 		ContentLength: c.req.ContentLength, Trailer: c.req.Trailer, Body: http.NoBody,
@@ -221,6 +227,10 @@
 func (c *run) answer(resp *http.Response) {
 	resp.Header = forwardable(resp.Header)
 	strip(resp.Header, HeaderRetriesUsed)
+	if resp.Header.Get(HeaderRetriesUsed) == "" {
+		// A server that makes calls of its own passes Retries-Left on and adds up what they used.
+		resp.Header[HeaderRetriesUsed] = []string{retry.Used{}.String()}
+	}
 	c.in.mark(resp.Header, c.id)
 	resp.Header[HeaderVersion] = []string{c.record.Version}
 	c.sample.Shed = shed(resp.StatusCode)
@@ -263,6 +273,14 @@
 	c.in.gate.leave()
 }
 
+// inboundTimeout returns the time that the outbound half gave the request.
+func inboundTimeout(h http.Header) time.Duration {
+	if h.Get(HeaderTimeout) == "" {
+		return defaultTimeout
+	}
+	return retry.ParseTimeout(h.Get(HeaderTimeout), maxTimeout)
+}
+
 // shed reports whether a status means that the server refused the request because of load.
 func shed(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
