--- /dev/null
+++ b/agent/account_test.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"tanagershunt.example/shunt/report"
+)
+
+// TestReportBounds guards against a report that counts requests which no server ran, or whose bound on what it
+// may lack does not cover what a killed node never reported.
+func TestReportBounds(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t, "attica-1", "attica-1", "attica-1", "attica-2")
+	all := m.members
+	crowd := m.gather(8, func(n int64) ask {
+		q := ask{http.MethodGet, all[n%4].callers(), "/catalogue/x", fmt.Sprint("browse-", n), ""}
+		if n%5 == 0 {
+			q.method, q.path = http.MethodPost, "/order"
+		}
+		return q
+	})
+	m.further(crowd, 400)
+	m.until("the killed node has reported", func() bool { return m.report(all[0]).Total.OK > 0 })
+	m.further(crowd, 200)
+	m.kill(all[2])
+	m.further(crowd, 400)
+	crowd.stop()
+
+	m.until("the report names the killed node and covers all requests", func() bool {
+		ran := 0
+		for _, s := range m.servers() {
+			ran += s.Totals().Runs
+		}
+		r := m.report(all[0])
+		// Each request is counted by the side that saw more of it, so only a fault counts too many.
+		if counted := r.Total.OK + r.Total.Failed; counted > uint64(ran) {
+			t.Fatalf("report counts %d requests, servers ran %d: %+v", counted, ran, r)
+		}
+		return r.Total.OK+r.Total.Failed+r.Total.Unknown+r.Unknown.Bound >= uint64(ran) &&
+			r.Unknown.Bounded && len(r.Unknown.Nodes) == 1
+	})
+}
+
+func (m *mesh) report(x *instance) report.Report {
+	m.t.Helper()
+	data, err := x.client.Raw(m.t.Context(), "/v1/report?service=catalogue&format=json")
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	var r report.Report
+	if err := json.Unmarshal(data, &r); err != nil {
+		m.t.Fatal(err)
+	}
+	return r
+}
--- a/agent/kill_test.go
+++ b/agent/kill_test.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"tanagershunt.example/shunt/proxy"
+	"tanagershunt.example/shunt/stub"
 )
 
 // TestKilledNodes guards against a claimed request that runs twice, or runs although every answer to it said
@@ -15,7 +17,11 @@
 	const repeats = 4
 	m := newMesh(t, "attica-1", "attica-1", "attica-1", "attica-2", "attica-2")
 	all := m.members
-	crowd := m.gather(12, func(n int64) ask {
+	for _, x := range all {
+		// Slow enough that requests run on a node when it is killed.
+		x.server.Set(stub.Behaviour{Service: "catalogue", Version: "catalogue-1", Latency: 50 * time.Millisecond})
+	}
+	crowd := m.gather(24, func(n int64) ask {
 		// Callers repeat a key while its first request runs and after it, each time through another node.
 		key := fmt.Sprint("order-", n/repeats)
 		return ask{http.MethodPost, all[n%int64(len(all))].callers(), "/order", key, key}
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -65,6 +68,8 @@
 			"runs":       cmdRuns,
 			"call":       cmdCall,
 			"expand":     cmdExpand,
+			"code":       cmdCode,
+			"post":       cmdPost,
 			"eventually": cmdEventually,
 		},
 	})
@@ -179,6 +184,46 @@
 	}
 }
 
+// cmdCode runs programs at the same time and compares their exit codes, in ascending order: code 0,4 program
+// args... -- program args...
+func cmdCode(ts *testscript.TestScript, _ bool, args []string) {
+	commands := [][]string{nil}
+	for _, a := range args[1:] {
+		if a == "--" {
+			commands = append(commands, nil)
+			continue
+		}
+		commands[len(commands)-1] = append(commands[len(commands)-1], a)
+	}
+	codes, outputs := make([]string, len(commands)), make([][]byte, len(commands))
+	var wg sync.WaitGroup
+	for i, c := range commands {
+		p := exec.CommandContext(context.Background(), program(ts, c[0]), c[1:]...)
+		p.Dir, p.Env = ts.MkAbs("."), append(os.Environ(), "TSCTL_NODE="+ts.Getenv("TSCTL_NODE"))
+		wg.Go(func() {
+			outputs[i], _ = p.CombinedOutput() // the exit code tells of errors
+			codes[i] = strconv.Itoa(p.ProcessState.ExitCode())
+		})
+	}
+	wg.Wait()
+	out := bytes.Join(outputs, nil)
+	ts.Stdout().Write(out)
+	slices.Sort(codes)
+	if got := strings.Join(codes, ","); got != args[0] {
+		ts.Fatalf("exit codes are %s, want %s; output:\n%s", got, args[0], out)
+	}
+}
+
+// cmdPost sends a file as JSON: post url file. The answer must be a success.
+func cmdPost(ts *testscript.TestScript, _ bool, args []string) {
+	resp, err := http.Post(args[0], "application/json", strings.NewReader(ts.ReadFile(args[1])))
+	ts.Check(err)
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("%s: %s", args[0], resp.Status)
+	}
+}
+
 // cmdEventually repeats a program until its output contains a text: eventually text program args...
 func cmdEventually(ts *testscript.TestScript, _ bool, args []string) {
 	var out []byte
