--- a/node/path_test.go
+++ b/node/path_test.go
@@ -207,7 +207,7 @@
 	}
 	wg.Wait()
 	out := bytes.Join(outputs, nil)
-	ts.Stdout().Write(out)
+	fmt.Fprintf(ts.Stdout(), "%s", out)
 	slices.Sort(codes)
 	if got := strings.Join(codes, ","); got != args[0] {
 		ts.Fatalf("exit codes are %s, want %s; output:\n%s", got, args[0], out)
