--- a/agent/mesh_test.go
+++ b/agent/mesh_test.go
@@ -42,7 +42,6 @@
 	mesh struct {
 		t       *testing.T
 		log     *mlog.Log
-		logURL  string
 		members []*instance
 	}
 
@@ -64,12 +63,6 @@
 		conns  []net.Conn
 		closed bool
 	}
-
-	// severable is a log that a killed node no longer reaches.
-	severable struct {
-		shunt.Log
-		ctx context.Context
-	}
 )
 
 func TestMain(m *testing.M) {
@@ -82,8 +75,6 @@
 func newMesh(t *testing.T, domains ...string) *mesh {
 	t.Helper()
 	m := &mesh{t: t, log: mlog.New(clockwork.NewRealClock(), mlog.Limits{})}
-	srv := &http.Server{Handler: mlog.Handler(m.log), ReadHeaderTimeout: patience}
-	m.logURL = "http://" + m.serve(srv.Serve, func() { srv.Close() })
 	for _, d := range domains {
 		m.start(m.settings(d), &stub.Behaviour{
 			Service: "catalogue", Version: "catalogue-1", Slots: 8, Latency: 5 * time.Millisecond,
@@ -114,7 +105,7 @@
 func (m *mesh) settings(domain string) params.Node {
 	const free = "127.0.0.1:0"
 	s := params.Node{
-		Domain: domain, Region: "attica", Log: m.logURL,
+		Domain: domain, Region: "attica",
 		Listeners:   params.Listeners{Callers: free, Calls: free, Control: free, Operators: free, Servers: free},
 		Notice:      params.Duration(notice),
 		StopTimeout: params.Duration(patience),
@@ -132,11 +123,12 @@
 	var links *link.Pool
 	var pool *peer.Pool
 	var open *listeners
-	severed, sever := context.WithCancel(context.Background())
-	m.t.Cleanup(sever)
+	// Each node reaches the log through a server of its own, which ends with it.
+	logs := &http.Server{Handler: mlog.Handler(m.log), ReadHeaderTimeout: patience}
+	s.Log = "http://" + m.serve(logs.Serve, func() { logs.Close() })
 	app, err := Start(
 		m.t.Context(), s,
-		fx.Decorate(func(l shunt.Log) shunt.Log { return severable{l, severed} }, track),
+		fx.Decorate(track),
 		fx.Populate(&links, &pool, &open),
 	)
 	if err != nil {
@@ -145,7 +137,7 @@
 	x.app = app
 	x.client = opapi.NewClient(app.Addresses().Operators, patience)
 	x.cut = func() {
-		sever()
+		logs.Close()
 		pool.Close()
 		for _, l := range []net.Listener{open.callers, open.calls, open.control, open.operators, open.servers} {
 			l.(*tracked).kill()
@@ -349,21 +341,3 @@
 		c.Close()
 	}
 }
-
-// Append implements shunt.Log.
-func (s severable) Append(ctx context.Context, stream string, data ...[]byte) (shunt.Offset, error) {
-	if s.ctx.Err() != nil {
-		return 0, shunt.ErrLogDown
-	}
-	return s.Log.Append(ctx, stream, data...)
-}
-
-// Read implements shunt.Log.
-func (s severable) Read(
-	ctx context.Context, stream string, from shunt.Offset, limit int, wait time.Duration,
-) (shunt.Batch, error) {
-	if s.ctx.Err() != nil {
-		return shunt.Batch{}, shunt.ErrLogDown
-	}
-	return s.Log.Read(ctx, stream, from, limit, wait)
-}
