--- a/canary/verdict.go
+++ b/canary/verdict.go
@@ -27,6 +27,9 @@
 // doubtful is the part of the limit, in logarithms, from which a step waits although the version is not bad.
 const doubtful = 0.75
 
+// most bounds the figures and routes that a text names, since texts go into records and facts.
+const most = 5
+
 type (
 	// Kind is the kind of a verdict.
 	Kind uint8
@@ -91,7 +94,9 @@
 		case f.Log10 >= f.Limit10:
 			v.Kind = Bad
 		case f.Log10 >= doubtful*f.Limit10:
-			v.Missing = append(v.Missing, "clear evidence on "+f.String())
+			if len(v.Missing) < most {
+				v.Missing = append(v.Missing, "clear evidence on "+f.String())
+			}
 		}
 	}
 	if v.Kind == Bad {
@@ -120,12 +125,11 @@
 		fmt.Fprintf(&b, "; missing: %s", strings.Join(v.Missing, ", "))
 	}
 	for i := range v.Figures {
-		if f := &v.Figures[i]; i == 0 || f.Log10 >= f.Limit10 {
+		if f := &v.Figures[i]; i == 0 || (i < most && f.Log10 >= f.Limit10) {
 			fmt.Fprintf(&b, "; %s", f)
 		}
 	}
 	if names := v.uncovered(); len(names) > 0 {
-		const most = 5
 		if more := len(names) - most; more > 0 {
 			names = append(names[:most], fmt.Sprintf("%d more", more))
 		}
--- a/count/collect.go
+++ b/count/collect.go
@@ -21,6 +21,7 @@
 	FoldAfter = 10 * time.Minute
 
 	readLimit = 500
+	lastFlush = 2 * time.Second
 )
 
 type (
@@ -143,12 +144,22 @@
 		}
 		select {
 		case <-ctx.Done():
+			c.flushLast(ctx)
 			return
 		case <-ticker.Chan():
 		}
 	}
 }
 
+// flushLast appends what a stopping collector still has in memory.
+func (c *Collector) flushLast(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastFlush)
+	defer cancel()
+	if err := c.Flush(ctx); err != nil {
+		log.WithError(err).WithField("domain", c.domain).Warn("last counters are not durable")
+	}
+}
+
 // pending returns the reports to append: those not durable, and a final one with all cells for each
 // incarnation that ended FoldAfter ago.
 func (c *Collector) pending(now time.Time) []Report {
--- a/count/collect_test.go
+++ b/count/collect_test.go
@@ -107,3 +107,23 @@
 		t.Fatalf("%d cells after the round trip, want 1000 with their histograms", len(m.Cells))
 	}
 }
+
+// TestLastFlush guards against counters that a stopping collector loses with its memory.
+func TestLastFlush(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := mlog.New(clock, mlog.Limits{})
+	table := count.NewTable(shunt.Member{Control: "n", Incarnation: 1}, clock)
+	table.Ran(shunt.Call{Service: "s"})
+	c := count.NewCollector(l, clock, "d")
+	c.Ingest(table.Snapshot(0))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Run(ctx)
+	next := count.NewCollector(l, clock, "d")
+	if err := next.Recover(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(next.Merged("s").Cells); n != 1 {
+		t.Fatalf("the next collector has %d cells, want 1", n)
+	}
+}
--- a/count/set.go
+++ b/count/set.go
@@ -36,7 +36,7 @@
 	Merged struct {
 		Service string     `json:"service"`
 		At      time.Time  `json:"at"`
-		Cells   []Cell     `json:"cells"`
+		Cells   []Cell     `json:"cells"` // in no order
 		Nodes   []NodeInfo `json:"nodes"` // live incarnations, and ended ones with something missing
 	}
 )
@@ -75,7 +75,7 @@
 		add(in.cells)
 		m.Nodes = append(m.Nodes, in.info)
 	}
-	m.Cells = sortedCells(sum)
+	m.Cells = listCells(sum)
 	slices.SortFunc(m.Nodes, func(a, b NodeInfo) int { return a.compare(b.NodeKey) })
 	return m
 }
@@ -95,7 +95,7 @@
 			addTo(sum, p.Cells[i].Key, &p.Cells[i].Values)
 		}
 	}
-	all.Cells = sortedCells(sum)
+	all.Cells = listCells(sum)
 	return all
 }
 
@@ -215,6 +215,14 @@
 	return cells
 }
 
+func listCells(m map[Key]*Values) []Cell {
+	cells := make([]Cell, 0, len(m))
+	for k, v := range m {
+		cells = append(cells, Cell{Key: k, Values: *v})
+	}
+	return cells
+}
+
 func addTo(sum map[Key]*Values, k Key, v *Values) {
 	if sum[k] == nil {
 		sum[k] = &Values{}
--- a/move/control.go
+++ b/move/control.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,8 +19,12 @@
 	"tanagershunt.example/shunt/state"
 )
 
-// ControlEvery is the interval at which a controller decides.
-const ControlEvery = 2 * time.Second
+const (
+	// ControlEvery is the interval at which a controller decides.
+	ControlEvery = 2 * time.Second
+	// maxUnconfirmed bounds the names in a completion: those of all 21,000 nodes would exceed the log's record limit.
+	maxUnconfirmed = 1000
+)
 
 type (
 	// States gives the current configuration's moves and offset. The controller asks for the offset first, so
@@ -245,9 +250,8 @@
 		body = state.Step{Move: m.Name, Version: m.Version, Number: d.Number, Share: d.Share, Evidence: d.Evidence}
 	case Complete:
 		r.Kind = state.KindComplete
-		last := m.Steps[len(m.Steps)-1]
 		body = state.Complete{
-			Move: m.Name, Version: m.Version, Evidence: d.Evidence, Unconfirmed: c.o.Unconfirmed(ctx, last.Offset),
+			Move: m.Name, Version: m.Version, Evidence: d.Evidence, Unconfirmed: c.unconfirmed(ctx, m),
 		}
 	default:
 		r.Kind = state.KindHalt
@@ -263,6 +267,15 @@
 	return r, nil
 }
 
+// unconfirmed names nodes that are not known to be in force at the last step.
+func (c *Controller) unconfirmed(ctx context.Context, m *state.MoveStatus) []string {
+	names := c.o.Unconfirmed(ctx, m.Steps[len(m.Steps)-1].Offset)
+	if more := len(names) - maxUnconfirmed; more > 0 {
+		names = append(slices.Clone(names[:maxUnconfirmed]), fmt.Sprintf("%d more", more))
+	}
+	return names
+}
+
 func (c *Controller) holds(move string) bool {
 	holders := c.o.Directory.Holders("move-"+move, "", 1)
 	return len(holders) > 0 && holders[0].Control == c.o.Directory.Self().Control
--- a/move/control_test.go
+++ b/move/control_test.go
@@ -130,6 +130,45 @@
 	}
 }
 
+// TestRecordsBelowLimit guards against a halt or a completion that the log refuses as too large for good, when every
+// node of the fleet added a fact or is not confirmed.
+func TestRecordsBelowLimit(t *testing.T) {
+	ctx := context.Background()
+	for _, halted := range []bool{true, false} {
+		clock := clockwork.NewFakeClockAt(published)
+		f := &fleet{self: "a", new: servers("v2", 5, published.Add(-time.Hour)), unconfirmed: make([]string, 21_000)}
+		for i := range f.unconfirmed {
+			f.unconfirmed[i] = fmt.Sprintf("10.0.%d.%d:65535", i/256, i%256)
+		}
+		_, ledgers, controllers, facts := setUp(t, clock, 10*time.Minute, f)
+		for i := range f.unconfirmed {
+			if halted {
+				facts[0].Add(shunt.Fact{
+					Kind: shunt.FactStop, Move: "m", Version: 1, Node: f.unconfirmed[i], Domain: fmt.Sprint(i % 44),
+					Reason: strings.Repeat("evidence ", 50),
+				})
+			}
+		}
+		for range 300 {
+			controllers[0].Tick(ctx)
+			if err := ledgers[0].Follow(ctx); err != nil {
+				t.Fatal(err)
+			}
+			clock.Advance(move.ControlEvery)
+			if s := ledgers[0].Status(); !s.Open() {
+				break
+			}
+		}
+		want := state.PhaseCompleted
+		if halted {
+			want = state.PhaseRolledBack
+		}
+		if s := ledgers[0].Status(); s.Phase != want {
+			t.Errorf("phase %s, want %s", s.Phase, want)
+		}
+	}
+}
+
 // TestLateHaltKeepsCompletion guards a completed move against a controller that has not read the completion and
 // halts for lack of time, which within the hold period would take the move back.
 func TestLateHaltKeepsCompletion(t *testing.T) {
--- a/move/decide.go
+++ b/move/decide.go
@@ -184,9 +184,14 @@
 	return n
 }
 
+// factReasons names the first facts; every node of the fleet may have added one.
 func factReasons(facts []shunt.Fact) []string {
-	reasons := make([]string, 0, len(facts))
+	const most = 5
+	reasons := make([]string, 0, most+1)
 	for i := range facts {
+		if i == most {
+			return append(reasons, fmt.Sprintf("%d more facts", len(facts)-most))
+		}
 		f := &facts[i]
 		reasons = append(reasons, fmt.Sprintf("%s by node %s in %s: %s", f.Kind, f.Node, f.Domain, f.Reason))
 	}
--- a/move/fake_test.go
+++ b/move/fake_test.go
@@ -30,6 +30,8 @@
 	fails    uint64 // failures of the new version per second of 30 calls
 	mu       sync.Mutex
 	problems error
+
+	unconfirmed []string
 }
 
 func TestMain(m *testing.M) {
@@ -108,6 +110,7 @@
 		ledgers, facts = append(ledgers, ledger), append(facts, set)
 		controllers = append(controllers, move.NewController(move.Options{
 			Log: l, Clock: clock, Directory: f, States: ledger, Counters: f, Facts: set,
+			Unconfirmed: func(context.Context, shunt.Offset) []string { return f.unconfirmed },
 		}))
 	}
 	return l, ledgers, controllers, facts
--- a/trial/run.go
+++ b/trial/run.go
@@ -36,7 +36,8 @@
 		zero      time.Time
 	}
 
-	// Summary is the outcome of trials under one policy. Means are over bad cases rolled back.
+	// Summary is the outcome of trials under one policy. Requests received are over all bad versions, times to
+	// zero over those rolled back after their fault showed.
 	Summary struct {
 		Policy        Policy
 		GoodOnTime    float64 // share of the good versions completed on time
@@ -148,16 +149,16 @@
 		}
 		bad++
 		s.MaxReceived = max(s.MaxReceived, r.Received)
+		received += r.Received
 		if r.Completed {
 			continue
 		}
 		back++
-		received += r.Received
 		toZero += r.ToZero
 		s.MaxToZero = max(s.MaxToZero, r.ToZero)
 	}
 	s.GoodOnTime, s.BadRolledBack = onTime/max(1, good), back/max(1, bad)
-	s.MeanReceived = float64(received) / max(1, back)
+	s.MeanReceived = float64(received) / max(1, bad)
 	s.MeanToZero = toZero / time.Duration(max(1, back))
 	return s
 }
