--- a/demo/objects.go
+++ b/demo/objects.go
@@ -54,7 +54,7 @@
   curl -i http://%s/catalogue/fonts           # a call
   curl -i -X POST -H 'Idempotency-Key: k1' -d order http://%s/licence/issue   # runs at most once
   curl -i -X POST -H 'Idempotency-Key: k1' -d order http://%s/licence/issue   # a repeat, through another node
-  go run ./oper get                           # the objects; save one, change it, then: publish FILE --wait
+  go run ./oper get                           # the objects; save the "object" part of one, change it, then: publish FILE --wait
   echo '{"kind":"move","name":"m1","spec":{"service":"catalogue","from":"catalogue-1","to":"catalogue-2","deadline":"%s"}}' > /tmp/move.json
   go run ./oper publish /tmp/move.json --wait # a move; keep calls coming and follow it with: go run ./oper moves
   go run ./oper take-out attica-2 --wait      # a failure domain leaves; bring-back returns it
--- a/oper/output.go
+++ b/oper/output.go
@@ -39,7 +39,13 @@
 	case opapi.ResultNotPublished:
 		fmt.Fprintf(c.out, "not published: %s\n", r.Reason)
 	default:
-		fmt.Fprintf(c.out, "unknown, ask again with: tsctl publish --id %s (%s)\n", r.ID, r.Reason)
+		fmt.Fprintf(
+			c.out,
+			"unknown: %s\nask with: tsctl outcome %s; to publish, repeat the same objects with --id %s\n",
+			r.Reason,
+			r.ID,
+			r.ID,
+		)
 	}
 	return exitCode(r.Result)
 }
--- a/oper/publish.go
+++ b/oper/publish.go
@@ -18,22 +18,35 @@
 
 func (c *command) publishActions() []action {
 	var path, id, remove string
-	validate := newAction("validate", "check files or a folder of objects offline", func(context.Context) int {
+	validate := newAction("validate", "check a complete set of objects offline", func(context.Context) int {
 		return c.validate(path)
 	})
 	validate.sub.AddPositionalValue(&path, "path", 1, true, "file or folder of objects")
 
-	publish := newAction("publish", "publish changed objects", func(ctx context.Context) int {
-		return c.publish(ctx, path, id, remove)
-	})
+	publish := newAction(
+		"publish",
+		"publish the objects that differ from those in force",
+		func(ctx context.Context) int {
+			return c.publish(ctx, path, id, remove)
+		},
+	)
 	publish.sub.AddPositionalValue(&path, "path", 1, false, "file or folder of objects")
-	publish.sub.String(&id, "i", "id", "identifier of the publish; repeat it to ask again after an unknown result")
+	publish.sub.String(
+		&id,
+		"i",
+		"id",
+		"identifier of the publish; after an unknown result repeat it with the same objects",
+	)
 	publish.sub.String(&remove, "d", "delete", "comma-separated keys to delete, such as route/browse,move/m1")
 	publish.sub.Bool(&c.wait, "w", "wait", "wait until the change is in force everywhere")
 
-	diff := newAction("diff", "show what a publish would change", func(ctx context.Context) int {
-		return c.diff(ctx, path)
-	})
+	diff := newAction(
+		"diff",
+		"show what a publish would change; absent objects stay as they are",
+		func(ctx context.Context) int {
+			return c.diff(ctx, path)
+		},
+	)
 	diff.sub.AddPositionalValue(&path, "path", 1, true, "file or folder of objects")
 	return []action{validate, publish, diff}
 }
