Take claims and moves over from a failure domain that died as a whole

Cause: fleet-wide roles were given to members of failure domains that can't be reached. Nobody is left inside such a domain to declare its members dead, so their claim partitions and moves kept a dead holder for good.

Change: reachable in agent/claims.go leaves out holders in unreachable failure domains and serves the claims and the move controller.

After: TestDomainLost passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,7 +148,7 @@
 	l shunt.Log, t *member.Table, p *peer.Pool, c clockwork.Clock, x seed,
 ) (*claim.Holder, *claim.Client, shunt.Claimer) {
 	holder := claim.NewHolder(c, l, 0)
-	client := claim.NewClient(c, claimDirectory{t}, holder, claimTransport{p}, rand.NewPCG(uint64(x), 2))
+	client := claim.NewClient(c, reachable{t}, holder, claimTransport{p}, rand.NewPCG(uint64(x), 2))
 	return holder, client, client
 }
 
@@ -214,7 +214,7 @@
 	return move.NewController(move.Options{
 		Log:       l,
 		Clock:     c,
-		Directory: t,
+		Directory: reachable{t},
 		States:    moves{hub},
 		Counters:  a,
 		Facts:     f,
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/claim"
+	"tanagershunt.example/shunt/member"
 	"tanagershunt.example/shunt/peer"
 )
 
@@ -17,17 +19,30 @@
 	// claimTransport carries claims to the holder of a partition over net/rpc.
 	claimTransport struct{ pool *peer.Pool }
 
-	// claimDirectory makes the own node the holder of every partition when no other node is left. A node that
-	// leaves holds no role, so the last one could otherwise neither take claims nor record their outcomes.
-	claimDirectory struct{ shunt.Directory }
+	// reachable is the directory of roles that any node of the fleet may hold: claim partitions and moves. It
+	// leaves out holders in failure domains that can't be reached, whose members nobody else declares dead,
+	// and makes the own node the holder when no other is left. A node that leaves holds no role, so the last
+	// one could otherwise neither take claims nor record their outcomes. Two holders are harmless.
+	reachable struct{ *member.Table }
 )
 
+// spareHolders is how many holders beyond those asked for are looked at when some can't be reached.
+const spareHolders = 16
+
 // Holders implements shunt.Directory.
-func (d claimDirectory) Holders(role, domain string, n int) []shunt.Member {
-	if holders := d.Directory.Holders(role, domain, n); len(holders) > 0 {
-		return holders
+func (d reachable) Holders(role, domain string, n int) []shunt.Member {
+	holders := d.Table.Holders(role, domain, n)
+	if lost := d.Unreachable(); domain == "" && len(lost) > 0 {
+		holders = slices.DeleteFunc(
+			slices.Clone(d.Table.Holders(role, domain, n+spareHolders)),
+			func(m shunt.Member) bool { return slices.Contains(lost, m.Domain) },
+		)
+		holders = holders[:min(n, len(holders))]
+	}
+	if len(holders) == 0 {
+		return []shunt.Member{d.Self()}
 	}
-	return []shunt.Member{d.Self()}
+	return holders
 }
 
 // Take implements claim.Transport.
--- a/agent/kill_test.go
+++ b/agent/kill_test.go
@@ -64,3 +64,27 @@
 		t.Error("no request ran")
 	}
 }
+
+// TestDomainLost guards against claims that stay with a holder in a failure domain that died as a whole, in
+// which no node is left to declare it dead.
+func TestDomainLost(t *testing.T) {
+	t.Parallel()
+	const size = 64 // keys, so that each node holds partitions of some of them
+	m := newMesh(t, "attica-1", "attica-2")
+	m.kill(m.members[1])
+	round := 0
+	m.until("claims of all partitions are taken", func() bool {
+		round++
+		answers := make(chan answer, size)
+		for i := range size {
+			id := fmt.Sprint("order-", round, "-", i)
+			go func() { answers <- ask{http.MethodPost, m.members[0].callers(), "/order", id, id}.send(t.Context()) }()
+		}
+		good := true
+		for range size {
+			a := <-answers
+			good = a.good() && good
+		}
+		return good
+	})
+}
