Remove a deadlock between a peer pool and a failing connection

Cause: Pool.link takes the lock of a connection under the pool's lock, while a connection whose dialling failed asked the pool for its backoff, and so for the pool's lock, under its own. Change: the random source of the backoff has a lock of its own, the last in the order. The refusal of a failure domain that is out now carries the request's identifier: without it TestDomainsOut saw '502 unknown, answer belongs to another request' for a request that had not run. Conclusion: one lock order: pool, connection, jitter.

--- a/agent/out.go
+++ b/agent/out.go
@@ -14,6 +14,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		// An answer without the request's identifier counts as another request's and its outcome as unknown.
+		w.Header().Set(proxy.HeaderRequestID, r.Header.Get(proxy.HeaderRequestID))
 		w.Header().Set(proxy.HeaderOutcome, proxy.OutcomeNotRun)
 		w.Header().Set(proxy.HeaderReason, "failure domain is out of service")
 		w.Header().Set(proxy.HeaderRetriesUsed, "0")
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -42,6 +42,7 @@
 		noBackoff map[string]bool
 
 		mu     sync.Mutex
+		jitter sync.Mutex // guards rng; taken under the lock of a link, which is taken under mu
 		rng    *rand.Rand
 		links  map[linkKey]*link
 		calls  int
@@ -177,8 +178,8 @@
 
 // backoff returns the time until the next attempt after a number of failures: exponential with full jitter.
 func (p *Pool) backoff(failures int) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.jitter.Lock()
+	defer p.jitter.Unlock()
 	return FullJitter(p.rng, p.opts.BackoffBase, p.opts.BackoffCap, failures)
 }
 
