--- a/bench/main.go
+++ b/bench/main.go
@@ -45,6 +45,7 @@
 			benchMoves(out, seed)
 			return nil
 		}},
+		{"spread", func() error { return benchSpread(ctx, out, seed) }},
 		{"outage", func() error { return benchOutages(ctx, out, seed) }},
 	} {
 		if only != "" && !strings.Contains(","+only+",", ","+part.name+",") {
