--- /dev/null
+++ b/place/choose.go
@@ -0,0 +1,125 @@
+// Package place chooses the server for a request by the time and traffic that it is expected to cost. It does
+// no input or output.
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// reportLife is the age at which a report of load counts half.
+	reportLife = 300 * time.Millisecond
+	// unknownWork is the expected time at a server of which nothing is known yet.
+	unknownWork = 100 * time.Millisecond
+	// leastSuccess bounds the weight of a server that fails.
+	leastSuccess = 0.1
+	// farPerKilobyte is what a kilobyte sent to another failure domain costs, as time that a caller would wait
+	// instead. Traffic between failure domains is the dearest resource of the users.
+	farPerKilobyte = 12 * time.Millisecond
+	// farBase is the cost of the longer way itself.
+	farBase = 3 * time.Millisecond
+	// leastPatience is the shortest wait for which a sender prefers no other server.
+	leastPatience = 8 * time.Millisecond
+	kilobyte      = 1024
+)
+
+type (
+	// Candidate is what is known of a server that may run the request.
+	Candidate struct {
+		Addr      string
+		Near      bool // in the sender's failure domain
+		Slots     int
+		Running   int // as the server's node last reported
+		Queued    int
+		Age       time.Duration // of the report
+		Mine      int           // requests of this sender that have no answer yet
+		Work      time.Duration // mean time of a request there, 0 when unknown
+		Success   float64       // share of recent requests that did not fail
+		ColdFor   time.Duration // time for which the server remains cold
+		ColdRate  float64       // requests a second that it bears while cold
+		Recent    int           // requests of this sender there in the last second
+		Senders   int           // nodes that share a cold server's rate
+		Estimated time.Duration // wait that the server's node named in a refusal just now
+	}
+
+	// Request is what matters of a request.
+	Request struct {
+		Work  time.Duration // expected, at a server of mean speed
+		Bytes int           // of the request and its expected answer
+	}
+
+	// Choice is the best server.
+	Choice struct {
+		Index    int
+		Cost     time.Duration
+		Patience time.Duration // wait there beyond which another server is expected to be better, 0 for none
+	}
+)
+
+// Choose returns the cheapest candidate, or false when there is none. Draw is uniform in [0, 1); it decides
+// between servers whose cost is alike, so that senders with the same reports spread.
+func Choose(list []Candidate, r Request, draw float64) (Choice, bool) {
+	if len(list) == 0 {
+		return Choice{}, false
+	}
+	best, second := -1, -1
+	costs := make([]time.Duration, len(list))
+	start := int(draw * float64(len(list)))
+	for n := range list {
+		i := (start + n) % len(list)
+		costs[i] = Cost(&list[i], r)
+		switch {
+		case best < 0 || costs[i] < costs[best]:
+			best, second = i, best
+		case second < 0 || costs[i] < costs[second]:
+			second = i
+		}
+	}
+	c := Choice{Index: best, Cost: costs[best]}
+	if second >= 0 {
+		wait := waitAt(&list[best], r)
+		c.Patience = max(costs[second]-costs[best]+wait, leastPatience)
+	}
+	return c, true
+}
+
+// Cost is the expected time until an answer, with traffic between failure domains counted as time.
+func Cost(c *Candidate, r Request) time.Duration {
+	cost := waitAt(c, r) + workAt(c, r)
+	cost = time.Duration(float64(cost) / max(c.Success, leastSuccess))
+	if !c.Near {
+		cost += farBase + time.Duration(float64(farPerKilobyte)*float64(r.Bytes)/kilobyte)
+	}
+	return cost
+}
+
+func workAt(c *Candidate, r Request) time.Duration {
+	if c.Work > 0 {
+		return c.Work
+	}
+	return max(r.Work, unknownWork)
+}
+
+// waitAt estimates the wait from the last report, which fades, and from what this sender has sent since.
+func waitAt(c *Candidate, r Request) time.Duration {
+	if c.Estimated > 0 {
+		return c.Estimated
+	}
+	if c.ColdFor > 0 && c.ColdRate > 0 {
+		// The sender's fair share of a cold server's rate; the server's node refuses what exceeds the whole.
+		fair := c.ColdRate / float64(max(c.Senders, 1))
+		if float64(c.Recent) >= max(fair, 1) {
+			return c.ColdFor
+		}
+	}
+	slots := float64(max(c.Slots, 1))
+	fade := math.Exp2(-float64(c.Age) / float64(reportLife))
+	busy := max(float64(c.Running+c.Queued)*fade, float64(c.Mine))
+	over := busy + 1 - slots
+	if over <= 0 {
+		// A server that is nearly full is likely to be full when the request arrives.
+		return time.Duration(float64(workAt(c, r)) * 0.1 * math.Pow(busy/slots, 3))
+	}
+	return time.Duration(over / slots * float64(workAt(c, r)))
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -174,7 +174,7 @@
 	u := *c.req.URL
 	u.Scheme, u.Host = "http", a.member.Calls
 	h := forwardableRequest(c.req.Header)
-	strip(h)
+	Strip(h)
 	set(h, [][2]string{
 		{HeaderRequestID, c.id},
 		{HeaderAttempt, strconv.Itoa(n)},
--- a/proxy/clean.go
+++ b/proxy/clean.go
@@ -12,8 +12,8 @@
 	"Transfer-Encoding", "Upgrade",
 }
 
-// forwardable returns a copy of a header without what concerns one connection. Values are shared.
-func forwardable(h http.Header) http.Header {
+// Forwardable returns a copy of a header without what concerns one connection. Values are shared.
+func Forwardable(h http.Header) http.Header {
 	out := maps.Clone(h)
 	if out == nil {
 		out = make(http.Header)
@@ -32,7 +32,7 @@
 // forwardableRequest returns the header to forward with a request. An upgrade of the connection is never
 // forwarded, which HTTP allows any server. The only transfer coding parameter that passes is trailers.
 func forwardableRequest(h http.Header) http.Header {
-	out := forwardable(h)
+	out := Forwardable(h)
 	delete(out, "Expect")
 	for _, v := range h["Te"] {
 		if strings.Contains(strings.ToLower(v), "trailers") {
@@ -54,8 +54,8 @@
 	}
 }
 
-// strip removes the headers of the system except the given ones.
-func strip(h http.Header, keep ...string) {
+// Strip removes the headers of the system except the given ones.
+func Strip(h http.Header, keep ...string) {
 	for name := range h {
 		if strings.HasPrefix(name, prefix) && !contains(keep, name) {
 			delete(h, name)
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -225,8 +225,8 @@
 // answer prepares the backend server's answer for the caller. What the server says in headers that only the
 // system may set is dropped: a refusal that it passes on from elsewhere says nothing about this request.
 func (c *run) answer(resp *http.Response) {
-	resp.Header = forwardable(resp.Header)
-	strip(resp.Header, HeaderRetriesUsed)
+	resp.Header = Forwardable(resp.Header)
+	Strip(resp.Header, HeaderRetriesUsed)
 	if resp.Header.Get(HeaderRetriesUsed) == "" {
 		// A server that makes calls of its own passes Retries-Left on and adds up what they used.
 		resp.Header[HeaderRetriesUsed] = []string{retry.Used{}.String()}
--- /dev/null
+++ b/shift/tally.go
@@ -0,0 +1,39 @@
+package shift
+
+import (
+	"strconv"
+	"time"
+
+	"tanagershunt.example/shunt/count"
+)
+
+// Add counts one answer.
+func (t *Tally) Add(route string, failed bool, latency time.Duration) {
+	if t.Routes == nil {
+		t.Routes = make(map[string]RouteTally)
+	}
+	r := t.Routes[route]
+	r.Answers++
+	if failed {
+		r.Failures++
+	}
+	if r.Latency == nil {
+		r.Latency = make(map[string]uint64)
+	}
+	r.Latency[strconv.Itoa(count.Bucket(latency))]++
+	t.Routes[route] = r
+}
+
+// Total returns the number of answers.
+func (t *Tally) Total() uint64 {
+	var n uint64
+	for _, r := range t.Routes {
+		n += r.Answers
+	}
+	return n
+}
+
+func bucket(key string) (int, bool) {
+	b, err := strconv.Atoi(key)
+	return b, err == nil && b >= 0 && b < count.NumBuckets
+}
--- /dev/null
+++ b/side/attempt.go
@@ -0,0 +1,194 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conns"
+	"tanagershunt.example/shunt/place"
+	"tanagershunt.example/shunt/proxy"
+)
+
+const (
+	// maxDoors bounds the nodes that are asked for one request. Asking costs a round trip each.
+	maxDoors = 5
+	// expectBody is the size from which a body is sent to another node only after that node has a place for it.
+	expectBody = 4 << 10
+	// shutPause is the time for which a server is left alone whose node takes no requests for it.
+	shutPause = 100 * time.Millisecond
+)
+
+// run asks nodes until one answers, or until nothing more may or can be tried.
+func (c *call) run(ctx context.Context) *doorResult {
+	o := c.out
+	budget := o.budgets.of(c.service, o.Clock, o.Bounds(), len(o.World.nodes()))
+	budget.First()
+	version, trial := o.World.version(c.service, rand.Float64(), o.Bounds().ShiftShare)
+	refused := make(map[string]time.Duration) // waits that nodes named
+	gone := make(map[string]bool)             // nodes not to be asked again
+	last := notRun("no server of " + c.service + " is known")
+	for c.doors < maxDoors && ctx.Err() == nil {
+		p, choice, ok := c.choose(version, refused, gone)
+		if !ok && trial {
+			// Too few servers of the new version: the old one takes the request.
+			version, trial = o.World.version(c.service, 1, 0)
+			continue
+		}
+		if !ok {
+			break
+		}
+		addr := p.get().Calls
+		_, again := refused[addr]
+		if again {
+			choice.Patience = 0
+		}
+		res := c.try(ctx, p, choice.Patience)
+		switch {
+		case res.outcome == shunt.AttemptAnswered && !c.again(res, budget.Again):
+			return res
+		case res.outcome == shunt.AttemptUnknown && !c.again(res, budget.Again):
+			return c.worst(res)
+		case res.outcome == shunt.AttemptNotRun && res.arrived && !c.again(res, budget.Again):
+			return c.worst(res)
+		}
+		if res.outcome != shunt.AttemptNotRun || res.arrived || res.closed || !res.reached || again {
+			gone[addr] = true
+		}
+		refused[addr] = max(res.wait, time.Millisecond)
+		last = pick(last, res)
+	}
+	if ctx.Err() != nil && last.outcome == shunt.AttemptNotRun && c.attempts == 0 {
+		return notRun("no time left: " + last.reason)
+	}
+	return c.worst(last)
+}
+
+// pick keeps an answer of a server in favour of a later failure.
+func pick(last, res *doorResult) *doorResult {
+	if last.outcome == shunt.AttemptAnswered && res.outcome != shunt.AttemptAnswered {
+		return last
+	}
+	return res
+}
+
+// worst keeps a refusal from saying that the request did not run when an earlier attempt may have.
+func (c *call) worst(res *doorResult) *doorResult {
+	if res.outcome == shunt.AttemptNotRun && c.maybe {
+		res.outcome = shunt.AttemptUnknown
+	}
+	return res
+}
+
+// again reports whether a request that a server got may go to another one.
+func (c *call) again(res *doorResult, budget func() bool) bool {
+	if res.outcome != shunt.AttemptNotRun {
+		c.maybe = true
+	}
+	switch {
+	case res.outcome == shunt.AttemptAnswered && res.status < http.StatusInternalServerError:
+		return false
+	case res.outcome != shunt.AttemptNotRun && !c.route.Repeatable:
+		return false
+	case c.attempts >= c.route.MaxAttempts:
+		return false
+	case c.out.Clock.Now().Add(c.out.works.expected(c.route.Name)).After(c.deadline):
+		return false
+	}
+	return budget()
+}
+
+// choose returns the best node to ask.
+func (c *call) choose(
+	version string, refused map[string]time.Duration, gone map[string]bool,
+) (*peerNode, place.Choice, bool) {
+	o := c.out
+	now := o.Clock.Now()
+	nodes := len(o.World.nodes())
+	rate := o.World.spec(c.service).ColdRate
+	var peers []*peerNode
+	var list []place.Candidate
+	for _, p := range o.World.servers(c.service, version) {
+		candidate, ok := p.candidate(now, o.Domain)
+		if !ok || gone[candidate.Addr] {
+			continue
+		}
+		candidate.ColdRate, candidate.Senders = rate, nodes
+		if wait, ok := refused[candidate.Addr]; ok {
+			candidate.Estimated = wait
+		}
+		peers = append(peers, p)
+		list = append(list, candidate)
+	}
+	choice, ok := place.Choose(list, place.Request{
+		Work: o.works.expected(c.route.Name), Bytes: len(c.body) + o.works.answerBytes(c.route.Name),
+	}, rand.Float64())
+	if !ok {
+		return nil, choice, false
+	}
+	return peers[choice.Index], choice, true
+}
+
+// try asks one node.
+func (c *call) try(ctx context.Context, p *peerNode, patience time.Duration) *doorResult {
+	o := c.out
+	now := o.Clock.Now()
+	e := p.get()
+	d := &doorCall{
+		method: c.method, uri: c.uri, host: c.host, header: c.header, id: c.id, route: c.route.Name,
+		body: func() ([]byte, error) { return c.body, nil }, server: e.Server, caller: o.Service(),
+		left: c.deadline.Sub(now),
+		terms: terms{
+			repeatable: c.route.Repeatable, nested: c.nested, urgency: c.route.Priority, aim: c.aimAt.Sub(now),
+			patience: patience,
+		},
+	}
+	c.doors++
+	p.started(now)
+	var res *doorResult
+	if e.Calls == o.Self {
+		res = o.Door.Run(ctx, d)
+	} else {
+		res = c.send(ctx, e.Calls, d)
+	}
+	if res.arrived {
+		c.attempts++
+	}
+	end := o.Clock.Now()
+	failed := res.outcome == shunt.AttemptUnknown || res.arrived && res.outcome == shunt.AttemptNotRun ||
+		res.status >= http.StatusInternalServerError
+	p.ended(end, res.load, res.reached || ctx.Err() != nil, failed, res.arrived && ctx.Err() == nil)
+	if res.closed {
+		p.avoid(end, shutPause)
+	}
+	if res.outcome == shunt.AttemptAnswered && res.status < http.StatusBadRequest {
+		o.works.learn(c.route.Name, end.Sub(now))
+		o.works.learnBytes(c.route.Name, len(res.body))
+	}
+	return res
+}
+
+// send passes a request to another node.
+func (c *call) send(ctx context.Context, addr string, d *doorCall) *doorResult {
+	h := c.header.Clone()
+	proxy.Strip(h)
+	d.set(h)
+	resp, err := c.out.Pool.Do(ctx, addr, &conns.Request{
+		Method: c.method, URI: c.uri, Host: c.host, Header: h, Body: c.body, Limit: answerBytes,
+		Expect: len(c.body) >= expectBody,
+		Own:    func(_ int, h http.Header) bool { return h.Get(proxy.HeaderRequestID) == c.id },
+	})
+	if err == nil {
+		return readResult(resp.Status, resp.Header, resp.Body)
+	}
+	var failed *conns.Error
+	if errors.As(err, &failed) && !failed.Sent {
+		return notRun("node " + addr + " can't be reached: " + err.Error())
+	}
+	return &doorResult{
+		outcome: shunt.AttemptUnknown, arrived: true, reason: "node " + addr + " did not answer: " + err.Error(),
+	}
+}
--- /dev/null
+++ b/side/call.go
@@ -0,0 +1,206 @@
+package side
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/proxy"
+)
+
+// Headers between nodes, beside those of package proxy.
+const (
+	// headerServer names the backend server that must run the request.
+	headerServer = "Tanager-Server"
+	// headerCaller names the service beside which the request entered the mesh.
+	headerCaller = "Tanager-Caller"
+	// headerTerms holds how the request may wait, as fields separated by slashes: see terms.
+	headerTerms = "Tanager-Terms"
+	// headerWait is the expected wait in milliseconds, with a refusal.
+	headerWait = "Tanager-Wait-Ms"
+	// headerArrived says that the server itself got the request.
+	headerArrived = "Tanager-Arrived"
+)
+
+const (
+	termFields = 5
+	loadFields = 5
+)
+
+var errTerms = errors.New("terms of the request can't be read")
+
+type (
+	// doorCall is a request for the backend server of a node.
+	doorCall struct {
+		method, uri, host string
+		header            http.Header // as the caller sent it, without what concerns one connection
+		body              func() ([]byte, error)
+		id                string
+		route             string
+		server            string
+		caller            string
+		left              time.Duration // time until the sender gives up
+		terms             terms
+	}
+
+	// terms say how a request may wait and what follows when it fails.
+	terms struct {
+		repeatable bool
+		nested     bool
+		urgency    int
+		aim        time.Duration // time left until the answer loses value
+		patience   time.Duration // 0 for any
+	}
+
+	// doorResult is what became of a doorCall.
+	doorResult struct {
+		outcome shunt.AttemptOutcome
+		arrived bool // the server got the request
+		reached bool // the node answered
+		status  int
+		header  http.Header
+		body    []byte
+		reason  string
+		wait    time.Duration
+		load    *loadReport
+		closed  bool // the server takes no requests whatever the load is
+	}
+)
+
+func (t terms) format() string {
+	flags := ""
+	if t.repeatable {
+		flags += "r"
+	}
+	if t.nested {
+		flags += "n"
+	}
+	return strings.Join([]string{
+		flags, strconv.Itoa(t.urgency), strconv.FormatInt(t.aim.Milliseconds(), 10),
+		strconv.FormatInt(t.patience.Milliseconds(), 10), "",
+	}, "/")
+}
+
+func parseTerms(text string) (terms, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) != termFields {
+		return terms{}, errTerms
+	}
+	urgency, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return terms{}, errTerms
+	}
+	aim, err := strconv.ParseInt(parts[2], 10, 64)
+	if err != nil {
+		return terms{}, errTerms
+	}
+	patience, err := strconv.ParseInt(parts[3], 10, 64)
+	if err != nil {
+		return terms{}, errTerms
+	}
+	return terms{
+		repeatable: strings.Contains(parts[0], "r"), nested: strings.Contains(parts[0], "n"), urgency: urgency,
+		aim: time.Duration(aim) * time.Millisecond, patience: time.Duration(patience) * time.Millisecond,
+	}, nil
+}
+
+func (l loadReport) format() string {
+	return strings.Join([]string{
+		strconv.Itoa(l.running), strconv.Itoa(l.limit), strconv.Itoa(l.queued),
+		strconv.FormatInt(l.work.Milliseconds(), 10), strconv.FormatInt(l.cold.Milliseconds(), 10),
+	}, "/")
+}
+
+func parseLoad(text string) *loadReport {
+	parts := strings.Split(text, "/")
+	if len(parts) != loadFields {
+		return nil
+	}
+	var n [loadFields]int
+	for i, p := range parts {
+		v, err := strconv.Atoi(p)
+		if err != nil {
+			return nil
+		}
+		n[i] = v
+	}
+	return &loadReport{
+		running: n[0], limit: n[1], queued: n[2],
+		work: time.Duration(n[3]) * time.Millisecond, cold: time.Duration(n[4]) * time.Millisecond,
+	}
+}
+
+// set writes the call's own headers for the way to another node.
+func (c *doorCall) set(h http.Header) {
+	h[proxy.HeaderRequestID] = []string{c.id}
+	h[proxy.HeaderRoute] = []string{c.route}
+	h[proxy.HeaderTimeout] = []string{strconv.FormatInt(c.left.Milliseconds(), 10)}
+	h[headerServer] = []string{c.server}
+	h[headerCaller] = []string{c.caller}
+	h[headerTerms] = []string{c.terms.format()}
+}
+
+// readCall reads what set wrote.
+func readCall(r *http.Request) (*doorCall, error) {
+	t, err := parseTerms(r.Header.Get(headerTerms))
+	if err != nil {
+		return nil, err
+	}
+	left, err := strconv.ParseInt(r.Header.Get(proxy.HeaderTimeout), 10, 64)
+	if err != nil {
+		return nil, errTerms
+	}
+	return &doorCall{
+		method: r.Method, uri: r.RequestURI, host: r.Host, header: proxy.Forwardable(r.Header),
+		id: r.Header.Get(proxy.HeaderRequestID), route: r.Header.Get(proxy.HeaderRoute),
+		server: r.Header.Get(headerServer), caller: r.Header.Get(headerCaller),
+		left: time.Duration(left) * time.Millisecond, terms: t,
+	}, nil
+}
+
+// set writes the result's own headers for the way back.
+func (r *doorResult) set(h http.Header, id string) {
+	h[proxy.HeaderRequestID] = []string{id}
+	h[proxy.HeaderOutcome] = []string{r.outcome.String()}
+	if r.reason != "" {
+		h[proxy.HeaderReason] = []string{r.reason}
+	}
+	if r.load != nil {
+		h[proxy.HeaderLoad] = []string{r.load.format()}
+	}
+	if r.wait > 0 {
+		h[headerWait] = []string{strconv.FormatInt(r.wait.Milliseconds(), 10)}
+	}
+	if r.arrived {
+		h[headerArrived] = []string{"1"}
+	}
+	if r.closed {
+		h[headerServer] = []string{"closed"}
+	}
+}
+
+// readResult reads what set wrote and leaves the server's own headers.
+func readResult(status int, h http.Header, body []byte) *doorResult {
+	r := &doorResult{
+		reached: true, status: status, body: body, reason: h.Get(proxy.HeaderReason),
+		load: parseLoad(h.Get(proxy.HeaderLoad)), arrived: h.Get(headerArrived) != "",
+		closed: h.Get(headerServer) == "closed",
+	}
+	if ms, err := strconv.Atoi(h.Get(headerWait)); err == nil {
+		r.wait = time.Duration(ms) * time.Millisecond
+	}
+	switch h.Get(proxy.HeaderOutcome) {
+	case shunt.AttemptAnswered.String():
+		r.outcome = shunt.AttemptAnswered
+	case shunt.AttemptNotRun.String():
+		r.outcome = shunt.AttemptNotRun
+	default:
+		r.outcome = shunt.AttemptUnknown
+	}
+	proxy.Strip(h)
+	r.header = h
+	return r
+}
--- /dev/null
+++ b/side/outbound.go
@@ -0,0 +1,284 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conns"
+	"tanagershunt.example/shunt/proxy"
+	"tanagershunt.example/shunt/retry"
+	"tanagershunt.example/shunt/route"
+)
+
+const (
+	// noDeadline is the time for a request whose caller names none and whose route has no timeout.
+	noDeadline = 30 * time.Second
+	// maxBody bounds a request's body whatever the configuration says, since it is held in memory.
+	maxBody = 64 << 20
+	// bodyMemory bounds all bodies that are held at the same time.
+	bodyMemory = 96 << 20
+	// unready is the time after which a caller may try again at a node that knows no configuration yet.
+	unready = 300 * time.Millisecond
+	// retryShare is the part of a caller's time left up to which Retry-After may ask it to wait.
+	retryShare = 1.0 / 3
+)
+
+type (
+	// Outbound takes callers' requests. It is the handler of the listener for callers.
+	Outbound struct {
+		Clock   clockwork.Clock
+		Dialect shunt.Dialect
+		World   *World
+		Door    *Door
+		Self    string // address of this node for calls
+		Domain  string
+		Local   string // host part of the address from which the server beside the node makes its calls
+		Service func() string
+		Pool    *conns.Pool // connections to other nodes
+		Bounds  func() Bounds
+		Meter   *Meter
+
+		works   workTable
+		memory  memory
+		budgets budgets
+	}
+
+	// Bounds are the limits that a node keeps on behalf of the mesh.
+	Bounds struct {
+		RetryWindow time.Duration
+		RetryRatio  float64
+		RetrySlack  float64
+		ShiftShare  float64
+	}
+
+	// call is one request of a caller.
+	call struct {
+		out      *Outbound
+		id       string
+		method   string
+		uri      string
+		host     string
+		header   http.Header
+		body     []byte
+		route    *route.Entry
+		version  uint64 // of the configuration
+		service  string
+		nested   bool
+		arrived  time.Time
+		deadline time.Time
+		aimAt    time.Time
+		attempts int // servers that got the request
+		doors    int // nodes that were asked
+		maybe    bool
+	}
+
+	// memory bounds the bytes held for bodies.
+	memory struct {
+		mu   sync.Mutex
+		held int64
+	}
+
+	// budgets bounds the repeated sends of each service.
+	budgets struct {
+		mu       sync.Mutex
+		services map[string]*retry.Window
+	}
+)
+
+// ServeHTTP implements http.Handler.
+func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := o.Clock.Now()
+	caller := o.Dialect.Caller(r.Header)
+	table := o.World.Table()
+	if table == nil {
+		o.refuse(w, caller.ID, http.StatusServiceUnavailable, "no configuration is known yet", unready)
+		return
+	}
+	entry := table.Match(hostOf(r.Host), r.URL.Path)
+	if entry == nil {
+		o.refuse(w, caller.ID, http.StatusNotFound, "no route", 0)
+		return
+	}
+	limit := table.Config().Limits.BodyBytes
+	if limit <= 0 || limit > maxBody {
+		limit = maxBody
+	}
+	if r.ContentLength > limit {
+		o.refuse(w, caller.ID, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
+		return
+	}
+	release, ok := o.memory.take(max(r.ContentLength, 0))
+	if !ok {
+		o.refuse(w, caller.ID, http.StatusServiceUnavailable, "too much is held for bodies", unready)
+		return
+	}
+	defer release()
+	r.Body = http.MaxBytesReader(w, r.Body, limit)
+	body, err := readBody(r)
+	if err != nil {
+		o.unreadable(w, caller.ID, err)
+		return
+	}
+	c := &call{
+		out: o, id: caller.ID, method: r.Method, uri: r.RequestURI, host: r.Host, body: body, route: entry,
+		header: proxy.Forwardable(r.Header), version: table.Config().Version, service: entry.Service(),
+		nested: o.nested(r.RemoteAddr), arrived: arrived,
+	}
+	delete(c.header, "Expect")
+	c.limits(caller.Deadline)
+	c.serve(r.Context(), w)
+}
+
+// nested reports whether a request comes from the server beside the node, which makes it for a request that it
+// is running.
+func (o *Outbound) nested(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	return err == nil && host == o.Local
+}
+
+func (c *call) limits(deadline time.Duration) {
+	limit := c.route.Timeout
+	if limit <= 0 {
+		limit = noDeadline
+	}
+	if deadline > 0 {
+		limit = min(limit, deadline)
+	}
+	c.deadline = c.arrived.Add(limit)
+	c.aimAt = c.deadline
+	if c.route.Aim > 0 && c.route.Aim < limit {
+		c.aimAt = c.arrived.Add(c.route.Aim)
+	}
+}
+
+// serve finds an answer and writes it.
+func (c *call) serve(ctx context.Context, w http.ResponseWriter) {
+	o := c.out
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	res := c.run(ctx)
+	took := o.Clock.Since(c.arrived)
+	status := res.status
+	switch {
+	case res.outcome == shunt.AttemptAnswered:
+		answer(w, res)
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
+		status = 0
+		panic(http.ErrAbortHandler)
+	case res.outcome == shunt.AttemptNotRun:
+		status = http.StatusServiceUnavailable
+		o.refuse(w, c.id, status, res.reason, c.retryAfter(res))
+	case ctx.Err() != nil:
+		status = http.StatusGatewayTimeout
+		o.refuse(w, c.id, status, res.reason, 0)
+	default:
+		status = http.StatusBadGateway
+		o.refuse(w, c.id, status, res.reason, 0)
+	}
+	o.Meter.request(status, took)
+	log.WithFields(log.Fields{
+		"request": c.id, "route": c.route.Name, "service": c.service, "config": c.version, "status": status,
+		"outcome": res.outcome, "reason": res.reason, "attempts": c.attempts, "nodes": c.doors, "took": took,
+		"left": c.deadline.Sub(o.Clock.Now()), "nested": c.nested, "bytes": len(c.body),
+	}).Info("request ended")
+}
+
+// retryAfter returns when the caller should come back: about when the backlog that the request met is gone,
+// spread so that those who were refused together do not return together.
+func (c *call) retryAfter(res *doorResult) time.Duration {
+	left := c.deadline.Sub(c.out.Clock.Now())
+	most := time.Duration(retryShare * float64(left))
+	wait := max(res.wait, c.out.works.expected(c.route.Name)/2)
+	wait += time.Duration(rand.Float64() * float64(wait))
+	return max(min(wait, most), 0)
+}
+
+// answer writes the server's answer.
+func answer(w http.ResponseWriter, res *doorResult) {
+	h := w.Header()
+	for name, v := range res.header {
+		h[name] = v
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	if res.status != http.StatusNoContent && res.status != http.StatusNotModified {
+		h["Content-Length"] = []string{strconv.Itoa(len(res.body))}
+	}
+	w.WriteHeader(res.status)
+	if _, err := w.Write(res.body); err != nil {
+		log.WithError(err).Debug("caller left before its answer")
+	}
+}
+
+// refuse answers a request that no server answered.
+func (o *Outbound) refuse(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration) {
+	o.Dialect.Refuse(w.Header(), id, retryAfter)
+	w.Header()[proxy.HeaderReason] = []string{reason}
+	w.WriteHeader(status)
+}
+
+// unreadable answers a request whose body could not be read.
+func (o *Outbound) unreadable(w http.ResponseWriter, id string, err error) {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		o.refuse(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
+		return
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header()["Connection"] = []string{"close"}
+	o.refuse(w, id, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
+}
+
+func (m *memory) take(n int64) (release func(), ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.held+n > bodyMemory {
+		return nil, false
+	}
+	m.held += n
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.held -= n
+	}, true
+}
+
+// of returns the budget of a service, with this node's part of the bounds that all nodes share.
+func (b *budgets) of(service string, clock clockwork.Clock, bounds Bounds, nodes int) *retry.Window {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.services == nil {
+		b.services = make(map[string]*retry.Window)
+	}
+	w := b.services[service]
+	if w == nil {
+		w = &retry.Window{Clock: clock}
+		b.services[service] = w
+	}
+	// Windows of others slide over ours, and calls made by repeated requests count as repeats too.
+	const margin = 0.6
+	w.SetBounds(bounds.RetryWindow, margin*bounds.RetryRatio, margin*bounds.RetrySlack/float64(max(nodes, 1)))
+	return w
+}
+
+// hostOf returns the host of a Host header without its port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/side/peer.go
@@ -0,0 +1,126 @@
+package side
+
+import (
+	"sync"
+	"time"
+
+	"tanagershunt.example/shunt/place"
+)
+
+const (
+	// firstPause and maxPause bound the time for which a node that was not reached is left alone.
+	firstPause = 150 * time.Millisecond
+	maxPause   = 2 * time.Second
+	// successWeight is the weight of one outcome in the moving share of successes.
+	successWeight = 0.1
+	// recentSpan is the span in which sends to a cold server are counted.
+	recentSpan = time.Second
+)
+
+type (
+	// peerNode is a node as this one sees it: its entry, its last report of load and how it answered.
+	peerNode struct {
+		mu       sync.Mutex
+		entry    entry
+		coldTill time.Time
+		report   loadReport
+		reported time.Time
+		mine     int
+		failing  float64 // moving share of attempts that failed at the server
+		pause    time.Duration
+		until    time.Time // nothing is sent before, after the node was not reached
+		sent     []time.Time
+	}
+
+	// loadReport is the load on a server as its node told it with an answer.
+	loadReport struct {
+		running, limit, queued int
+		work                   time.Duration
+		cold                   time.Duration
+	}
+)
+
+func (p *peerNode) get() entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entry
+}
+
+func (p *peerNode) set(e entry, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e.Started != p.entry.Started || e.Born != p.entry.Born || e.Server != p.entry.Server {
+		p.pause, p.until, p.failing = 0, time.Time{}, 0
+		p.report, p.reported = loadReport{}, time.Time{}
+	}
+	p.entry = e
+	p.coldTill = now.Add(time.Duration(e.ColdMS) * time.Millisecond)
+}
+
+// candidate returns what place needs to know. It reports false while the node is left alone.
+func (p *peerNode) candidate(now time.Time, domain string) (place.Candidate, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.until) {
+		return place.Candidate{}, false
+	}
+	c := place.Candidate{
+		Addr: p.entry.Calls, Near: p.entry.Domain == domain, Slots: p.entry.Slots, Mine: p.mine,
+		Success: 1 - p.failing, Age: now.Sub(p.reported), ColdFor: max(p.coldTill.Sub(now), 0),
+	}
+	if !p.reported.IsZero() {
+		c.Running, c.Queued, c.Work = p.report.running, p.report.queued, p.report.work
+	}
+	if c.ColdFor > 0 {
+		for len(p.sent) > 0 && now.Sub(p.sent[0]) > recentSpan {
+			p.sent = p.sent[1:]
+		}
+		c.Recent = len(p.sent)
+	}
+	return c, true
+}
+
+func (p *peerNode) started(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mine++
+	if now.Before(p.coldTill) {
+		p.sent = append(p.sent, now)
+	}
+}
+
+// ended counts an attempt's end. Reached says whether the node answered; failed whether its server failed.
+func (p *peerNode) ended(now time.Time, r *loadReport, reached, failed, counts bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mine--
+	if r != nil {
+		p.report, p.reported = *r, now
+		if r.cold > 0 {
+			p.coldTill = now.Add(r.cold)
+		}
+	}
+	if !reached {
+		p.pause = min(max(2*p.pause, firstPause), maxPause)
+		p.until = now.Add(p.pause)
+		return
+	}
+	p.pause = 0
+	if !counts {
+		return
+	}
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	p.failing += successWeight * (outcome - p.failing)
+}
+
+// avoid leaves the server alone for a while after its node has refused a request whatever the load is.
+func (p *peerNode) avoid(now time.Time, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if until := now.Add(d); until.After(p.until) {
+		p.until = until
+	}
+}
--- /dev/null
+++ b/side/state.go
@@ -0,0 +1,76 @@
+package side
+
+import (
+	"time"
+
+	"tanagershunt.example/shunt/shift"
+)
+
+type (
+	// nodeState is the dump of a node's state.
+	nodeState struct {
+		Name     string                  `json:"name"`
+		Version  uint64                  `json:"configuration"`
+		Ready    bool                    `json:"ready"`
+		Server   serverState             `json:"server"`
+		Nodes    []entryState            `json:"nodes"`
+		Out      []string                `json:"failureDomainsOut"`
+		Moves    map[string]shift.Record `json:"moves"`
+		Settings any                     `json:"settings"`
+	}
+
+	serverState struct {
+		ID      string `json:"id"`
+		Version string `json:"version"`
+		Usable  bool   `json:"usable"`
+		Leaving bool   `json:"leaving"`
+		Running int    `json:"running"`
+		Queued  int    `json:"queued"`
+		Limit   int    `json:"limit"`
+		Cold    string `json:"cold"`
+	}
+
+	entryState struct {
+		entry
+		Running int       `json:"running"`
+		Queued  int       `json:"queued"`
+		Mine    int       `json:"mine"`
+		Failing float64   `json:"failing"`
+		Until   time.Time `json:"leftAloneUntil"`
+	}
+)
+
+func (n *Node) state() nodeState {
+	s := nodeState{
+		Name: n.settings.Load().Name, Ready: n.Serving(), Moves: make(map[string]shift.Record),
+		Settings: n.settings.Load(),
+	}
+	if t := n.world.Table(); t != nil {
+		s.Version = t.Config().Version
+	}
+	report, usable := n.server.Current()
+	load, _ := n.queue.Load()
+	s.Server = serverState{
+		ID: report.ID, Version: report.Version, Usable: usable, Leaving: report.Leaving, Running: load.InFlight,
+		Queued: load.Queued, Limit: load.Limit, Cold: n.server.Cold().String(),
+	}
+	n.world.mu.RLock()
+	defer n.world.mu.RUnlock()
+	for _, p := range n.world.peers {
+		p.mu.Lock()
+		s.Nodes = append(s.Nodes, entryState{
+			entry: p.entry, Running: p.report.running, Queued: p.report.queued, Mine: p.mine, Failing: p.failing,
+			Until: p.until,
+		})
+		p.mu.Unlock()
+	}
+	for domain, out := range n.world.out {
+		if out {
+			s.Out = append(s.Out, domain)
+		}
+	}
+	for service, m := range n.world.moves {
+		s.Moves[service] = m.Record
+	}
+	return s
+}
--- /dev/null
+++ b/side/sync.go
@@ -0,0 +1,253 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/shift"
+)
+
+const (
+	// topicMesh holds what the nodes tell one another.
+	topicMesh = "mesh"
+
+	keyMember = "member/" // + address for calls
+	keyMove   = "move/"   // + service
+	keyTally  = "tally/"  // + service + "/" + address for calls
+
+	// urgentTell bounds how long the word of a leaving server waits for the store before it is acknowledged.
+	urgentTell = 400 * time.Millisecond
+	// tellBackoff is the pause after a record could not be stored.
+	tellBackoff = 300 * time.Millisecond
+)
+
+// Sync keeps a World in step with the store, and tells the other nodes of the server beside this one.
+type Sync struct {
+	Clock    clockwork.Clock
+	Store    shunt.Store
+	Operator shunt.Operator
+	World    *World
+	Server   *Server
+	Self     string // address of this node for calls
+	Domain   string
+	Started  int64
+
+	orders, mesh atomic.Bool // whether the topics were read once
+	meshEnd      atomic.Int64
+
+	mu      sync.Mutex
+	stopped bool
+	changed chan struct{}
+	stored  chan struct{} // closed once the current entry is stored
+}
+
+// Run follows the store until ctx ends.
+func (s *Sync) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go((&follower{
+		store: s.Store, topic: s.Operator.Orders(), apply: s.applyOrders, synced: func() { s.orders.Store(true) },
+	}).runIn(ctx))
+	wg.Go((&follower{
+		store: s.Store, topic: topicMesh, apply: s.applyMesh, synced: func() { s.mesh.Store(true) },
+	}).runIn(ctx))
+	wg.Go(func() { s.tellAll(ctx) })
+	wg.Wait()
+}
+
+func (f *follower) runIn(ctx context.Context) func() { return func() { f.run(ctx) } }
+
+// Ready reports whether the node knows what it needs to serve.
+func (s *Sync) Ready() bool { return s.mesh.Load() && s.World.Table() != nil }
+
+func (s *Sync) applyOrders(records []shunt.Keyed, whole bool) {
+	out := make(map[string]bool)
+	for _, k := range records {
+		order, err := s.Operator.Read(k)
+		if err != nil {
+			log.WithError(err).WithFields(log.Fields{"key": k.Key, "offset": k.Offset}).Warn("order can't be read")
+			continue
+		}
+		switch order.Kind {
+		case shunt.OrderConfig:
+			s.World.SetConfig(order.Config)
+		case shunt.OrderShift:
+			s.World.SetOrder(order.Shift)
+		case shunt.OrderEvacuate:
+			out[order.Domain] = !order.Dropped
+		case shunt.OrderOther:
+		}
+	}
+	if whole {
+		s.World.setOutOnly(out)
+		return
+	}
+	for domain, is := range out {
+		s.World.SetOut(domain, is)
+	}
+}
+
+func (s *Sync) applyMesh(records []shunt.Keyed, _ bool) {
+	for _, k := range records {
+		if err := s.applyRecord(k); err != nil {
+			log.WithError(err).WithFields(log.Fields{"key": k.Key, "offset": k.Offset}).Warn("record can't be read")
+		}
+	}
+}
+
+func (s *Sync) applyRecord(k shunt.Keyed) error {
+	if len(k.Value) == 0 {
+		return nil
+	}
+	if name, ok := strings.CutPrefix(k.Key, keyMember); ok {
+		var e entry
+		if err := json.Unmarshal(k.Value, &e); err != nil {
+			return err
+		}
+		if e.Calls != name {
+			return errors.New("entry is stored under another address")
+		}
+		s.World.setEntry(e)
+		return nil
+	}
+	if service, ok := strings.CutPrefix(k.Key, keyMove); ok {
+		var r shift.Record
+		if err := json.Unmarshal(k.Value, &r); err != nil {
+			return err
+		}
+		s.World.setMove(service, r)
+		return nil
+	}
+	if rest, ok := strings.CutPrefix(k.Key, keyTally); ok {
+		service, node, _ := strings.Cut(rest, "/")
+		var t shift.Tally
+		if err := json.Unmarshal(k.Value, &t); err != nil {
+			return err
+		}
+		s.World.setTally(service, node, &t)
+	}
+	return nil
+}
+
+// Tell has the node's entry stored. With urgent it returns once it is, or after urgentTell.
+func (s *Sync) Tell(urgent bool) {
+	s.mu.Lock()
+	if s.changed == nil {
+		s.changed = make(chan struct{}, 1)
+	}
+	if s.stored == nil {
+		s.stored = make(chan struct{})
+	}
+	stored, changed := s.stored, s.changed
+	s.mu.Unlock()
+	select {
+	case changed <- struct{}{}:
+	default:
+	}
+	if !urgent {
+		return
+	}
+	select {
+	case <-stored:
+	case <-s.Clock.After(urgentTell):
+		log.WithField("server", s.entry().Server).Warn("store did not take the entry in time")
+	}
+}
+
+// Stop tells the other nodes that this one stops.
+func (s *Sync) Stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.Tell(true)
+}
+
+func (s *Sync) entry() entry {
+	r, _ := s.Server.Current()
+	s.mu.Lock()
+	stopping := s.stopped
+	s.mu.Unlock()
+	return entry{
+		Calls: s.Self, Domain: s.Domain, Service: r.Service, Server: r.ID, Born: r.Born, Sequence: r.Sequence,
+		Version: r.Version, Slots: r.Slots, Leaving: r.Leaving, ColdMS: s.Server.Cold().Milliseconds(),
+		Started: s.Started, Stopping: stopping,
+	}
+}
+
+// tellAll stores the node's entry whenever it changes.
+func (s *Sync) tellAll(ctx context.Context) {
+	s.mu.Lock()
+	if s.changed == nil {
+		s.changed = make(chan struct{}, 1)
+	}
+	changed := s.changed
+	s.mu.Unlock()
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		s.tell(ctx)
+	}
+}
+
+func (s *Sync) tell(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		stored := s.stored
+		s.stored = nil
+		s.mu.Unlock()
+		e := s.entry()
+		s.World.setEntry(e)
+		err := s.put(ctx, e)
+		if err == nil {
+			if stored != nil {
+				close(stored)
+			}
+			return
+		}
+		s.mu.Lock()
+		if s.stored == nil {
+			s.stored = stored
+		} else if stored != nil {
+			close(stored)
+		}
+		s.mu.Unlock()
+		log.WithError(err).Warn("entry was not stored")
+		select {
+		case <-s.Clock.After(time.Duration((0.5 + rand.Float64()) * float64(tellBackoff))):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Sync) put(ctx context.Context, e entry) error {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	_, err = s.Store.Append(ctx, topicMesh, -1, shunt.Keyed{Key: keyMember + s.Self, Value: data})
+	return err
+}
+
+// Restore returns what this node's last incarnation told of the server, if the store holds it.
+func (s *Sync) Restore() (shunt.ServerReport, bool) {
+	e, ok := s.World.entryOf(s.Self)
+	if !ok || e.Server == "" {
+		return shunt.ServerReport{}, false
+	}
+	return shunt.ServerReport{
+		ID: e.Server, Born: e.Born, Sequence: e.Sequence, Service: e.Service, Domain: e.Domain, Version: e.Version,
+		Slots: e.Slots, Leaving: e.Leaving,
+	}, true
+}
