Notice a store that came back, and keep traffic inside failure domains

Ruled out: a late append of the configuration; the store had acknowledged it. Change: shorter reads, one watcher a failure domain, nodes tell one another what they know with each request; the repeat budget leaves room for the calls of repeats; ways between failure domains cost more.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -33,14 +33,14 @@
 type (
 	// Request is one request.
 	Request struct {
-		Method  string
-		URI     string
-		Host    string
-		Header  http.Header
-		Body    []byte
-		Fresh   time.Duration // bound on the idle time of a kept connection, 0 for the pool's
-		Expect  bool          // send the body only after the peer asked for it
-		Limit   int64         // bound on the answer's body in bytes
+		Method string
+		URI    string
+		Host   string
+		Header http.Header
+		Body   []byte
+		Fresh  time.Duration // bound on the idle time of a kept connection, 0 for the pool's
+		Expect bool          // send the body only after the peer asked for it
+		Limit  int64         // bound on the answer's body in bytes
 		// Own reports whether an answer belongs to this request. Nil means that any does.
 		Own func(status int, h http.Header) bool
 	}
--- a/place/choose.go
+++ b/place/choose.go
@@ -16,12 +16,14 @@
 	leastSuccess = 0.1
 	// farPerKilobyte is what a kilobyte sent to another failure domain costs, as time that a caller would wait
 	// instead. Traffic between failure domains is the dearest resource of the users.
-	farPerKilobyte = 12 * time.Millisecond
+	farPerKilobyte = 30 * time.Millisecond
 	// farBase is the cost of the longer way itself.
 	farBase = 3 * time.Millisecond
 	// leastPatience is the shortest wait for which a sender prefers no other server.
 	leastPatience = 8 * time.Millisecond
-	kilobyte      = 1024
+	// overhead is the size of the headers of a request and its answer between nodes.
+	overhead = 900
+	kilobyte = 1024
 )
 
 type (
@@ -89,7 +91,7 @@
 	cost := waitAt(c, r) + workAt(c, r)
 	cost = time.Duration(float64(cost) / max(c.Success, leastSuccess))
 	if !c.Near {
-		cost += farBase + time.Duration(float64(farPerKilobyte)*float64(r.Bytes)/kilobyte)
+		cost += farBase + time.Duration(float64(farPerKilobyte)*float64(r.Bytes+overhead)/kilobyte)
 	}
 	return cost
 }
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -145,6 +145,7 @@
 			repeatable: c.route.Repeatable, nested: c.nested, urgency: c.route.Priority, aim: c.aimAt.Sub(now),
 			patience: patience,
 		},
+		known: o.World.formatKnown(),
 	}
 	c.doors++
 	p.started(now)
@@ -182,7 +183,9 @@
 		Own:    func(_ int, h http.Header) bool { return h.Get(proxy.HeaderRequestID) == c.id },
 	})
 	if err == nil {
-		return readResult(resp.Status, resp.Header, resp.Body)
+		res := readResult(resp.Status, resp.Header, resp.Body)
+		c.out.World.seeKnown(res.known)
+		return res
 	}
 	var failed *conns.Error
 	if errors.As(err, &failed) && !failed.Sent {
--- a/side/call.go
+++ b/side/call.go
@@ -43,6 +43,7 @@
 		server            string
 		caller            string
 		left              time.Duration // time until the sender gives up
+		known             string        // what the sender knows: see World.known
 		terms             terms
 	}
 
@@ -66,6 +67,7 @@
 		reason  string
 		wait    time.Duration
 		load    *loadReport
+		known   string
 		closed  bool // the server takes no requests whatever the load is
 	}
 )
@@ -141,6 +143,7 @@
 	h[headerServer] = []string{c.server}
 	h[headerCaller] = []string{c.caller}
 	h[headerTerms] = []string{c.terms.format()}
+	h[proxy.HeaderConfig] = []string{c.known}
 }
 
 // readCall reads what set wrote.
@@ -157,7 +160,7 @@
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: proxy.Forwardable(r.Header),
 		id: r.Header.Get(proxy.HeaderRequestID), route: r.Header.Get(proxy.HeaderRoute),
 		server: r.Header.Get(headerServer), caller: r.Header.Get(headerCaller),
-		left: time.Duration(left) * time.Millisecond, terms: t,
+		left: time.Duration(left) * time.Millisecond, terms: t, known: r.Header.Get(proxy.HeaderConfig),
 	}, nil
 }
 
@@ -177,6 +180,9 @@
 	if r.arrived {
 		h[headerArrived] = []string{"1"}
 	}
+	if r.known != "" {
+		h[proxy.HeaderConfig] = []string{r.known}
+	}
 	if r.closed {
 		h[headerServer] = []string{"closed"}
 	}
@@ -187,7 +193,7 @@
 	r := &doorResult{
 		reached: true, status: status, body: body, reason: h.Get(proxy.HeaderReason),
 		load: parseLoad(h.Get(proxy.HeaderLoad)), arrived: h.Get(headerArrived) != "",
-		closed: h.Get(headerServer) == "closed",
+		closed: h.Get(headerServer) == "closed", known: h.Get(proxy.HeaderConfig),
 	}
 	if ms, err := strconv.Atoi(h.Get(headerWait)); err == nil {
 		r.wait = time.Duration(ms) * time.Millisecond
@@ -204,3 +210,22 @@
 	r.header = h
 	return r
 }
+
+// formatKnown and seeKnown carry World.known between nodes.
+func (w *World) formatKnown() string {
+	config, mesh := w.known()
+	return strconv.FormatUint(config, 10) + "/" + strconv.FormatInt(mesh, 10)
+}
+
+func (w *World) seeKnown(text string) {
+	left, right, _ := strings.Cut(text, "/")
+	config, err := strconv.ParseUint(left, 10, 64)
+	if err != nil {
+		return
+	}
+	mesh, err := strconv.ParseInt(right, 10, 64)
+	if err != nil {
+		return
+	}
+	w.seen(config, mesh)
+}
--- a/side/door.go
+++ b/side/door.go
@@ -54,7 +54,9 @@
 		return
 	}
 	c.body = func() ([]byte, error) { return readBody(r) }
+	d.World.seeKnown(c.known)
 	res := d.Run(r.Context(), c)
+	res.known = d.World.formatKnown()
 	h := w.Header()
 	status := res.status
 	if res.outcome != shunt.AttemptAnswered {
--- a/side/follow.go
+++ b/side/follow.go
@@ -13,12 +13,20 @@
 
 const (
 	// followWait is the time for which a read waits for news.
-	followWait = 12 * time.Second
+	followWait = 5 * time.Second
+	// watchWait is the same for the node of each failure domain that watches whether the store still answers. The
+	// others learn from it, through the requests between nodes, that they missed something.
+	watchWait = time.Second
+	// behindFor is the time for which a node may know less than another before it reads anew: a read that waits
+	// in a store which came back from an outage may never be answered.
+	behindFor = 250 * time.Millisecond
+	// behindPoll is how often a node compares what it knows with what others know.
+	behindPoll = 100 * time.Millisecond
 	// coalesce is the pause between two reads of a topic, so that a burst of changes costs one read.
 	coalesce = 60 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after the store failed.
 	firstBackoff = 150 * time.Millisecond
-	maxBackoff   = time.Second
+	maxBackoff   = 500 * time.Millisecond
 )
 
 // follower applies the newest records of a topic and then each change, until its context ends.
@@ -27,6 +35,8 @@
 	topic  string
 	apply  func(records []shunt.Keyed, whole bool)
 	synced func()
+	watch  func() bool // whether this node watches the store for its failure domain
+	behind func() bool // whether other nodes know more
 
 	next    int64 // offset to read from
 	current bool  // whether the topic was read as a whole and can be followed
@@ -66,7 +76,17 @@
 		f.synced()
 		return nil
 	}
-	records, next, err := f.store.Follow(ctx, f.topic, f.next, followWait)
+	wait := followWait
+	switch {
+	case f.failed:
+		wait = 0
+	case f.watch():
+		wait = watchWait
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.interrupt(ctx, cancel)
+	records, next, err := f.store.Follow(ctx, f.topic, f.next, wait)
 	var truncated *shunt.TruncatedError
 	if errors.As(err, &truncated) {
 		f.current = false
@@ -82,6 +102,29 @@
 	return nil
 }
 
+// interrupt ends a read once other nodes have known more for a while.
+func (f *follower) interrupt(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(behindPoll)
+	defer ticker.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			switch {
+			case !f.behind():
+				since = time.Time{}
+			case since.IsZero():
+				since = now
+			case now.Sub(since) >= behindFor:
+				cancel()
+				return
+			}
+		}
+	}
+}
+
 // report logs when the store is lost and when it is back.
 func (f *follower) report(err error) {
 	switch {
--- a/side/node.go
+++ b/side/node.go
@@ -30,7 +30,7 @@
 	// second apart, that it is not ready.
 	stopNotice = 2800 * time.Millisecond
 	// stopMargin is kept from the grace time for the process to end.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = time.Second
 	// peerDialTimeout bounds a connection to another node; their ways are a few milliseconds long.
 	peerDialTimeout = 400 * time.Millisecond
 	// peerUserTimeout ends a connection to another node on which sent bytes stay unacknowledged.
@@ -260,6 +260,9 @@
 		wg.Go(func() {
 			if err := srv.Shutdown(ctx); err != nil {
 				log.WithError(err).Warn("listener had requests left")
+				if err := srv.Close(); err != nil {
+					log.WithError(err).Warn("listener was not closed")
+				}
 			}
 		})
 	}
--- a/side/outbound.go
+++ b/side/outbound.go
@@ -270,7 +270,7 @@
 		b.services[service] = w
 	}
 	// Windows of others slide over ours, and calls made by repeated requests count as repeats too.
-	const margin = 0.6
+	const margin = 0.4
 	w.SetBounds(bounds.RetryWindow, margin*bounds.RetryRatio, margin*bounds.RetrySlack/float64(max(nodes, 1)))
 	return w
 }
--- a/side/peer.go
+++ b/side/peer.go
@@ -57,6 +57,13 @@
 	p.coldTill = now.Add(time.Duration(e.ColdMS) * time.Millisecond)
 }
 
+// lost reports whether the node could not be reached lately.
+func (p *peerNode) lost(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pause > 0 && now.Before(p.until.Add(maxPause))
+}
+
 // candidate returns what place needs to know. It reports false while the node is left alone.
 func (p *peerNode) candidate(now time.Time, domain string) (place.Candidate, bool) {
 	p.mu.Lock()
--- a/side/sync.go
+++ b/side/sync.go
@@ -43,7 +43,6 @@
 	Started  int64
 
 	orders, mesh atomic.Bool // whether the topics were read once
-	meshEnd      atomic.Int64
 
 	mu      sync.Mutex
 	stopped bool
@@ -56,9 +55,11 @@
 	var wg sync.WaitGroup
 	wg.Go((&follower{
 		store: s.Store, topic: s.Operator.Orders(), apply: s.applyOrders, synced: func() { s.orders.Store(true) },
+		watch: s.watches, behind: s.World.behindConfig,
 	}).runIn(ctx))
 	wg.Go((&follower{
 		store: s.Store, topic: topicMesh, apply: s.applyMesh, synced: func() { s.mesh.Store(true) },
+		watch: s.watches, behind: s.World.behindMesh,
 	}).runIn(ctx))
 	wg.Go(func() { s.tellAll(ctx) })
 	wg.Wait()
@@ -96,8 +97,12 @@
 	}
 }
 
+// watches reports whether this node is the one of its failure domain that watches the store.
+func (s *Sync) watches() bool { return s.World.first(s.Domain) == s.Self }
+
 func (s *Sync) applyMesh(records []shunt.Keyed, _ bool) {
 	for _, k := range records {
+		s.World.read(k.Offset)
 		if err := s.applyRecord(k); err != nil {
 			log.WithError(err).WithFields(log.Fields{"key": k.Key, "offset": k.Offset}).Warn("record can't be read")
 		}
--- a/side/world.go
+++ b/side/world.go
@@ -40,6 +40,10 @@
 		clock clockwork.Clock
 		table atomic.Pointer[route.Table]
 
+		meshAt     atomic.Int64  // offset of the latest record read of the mesh topic
+		seenMesh   atomic.Int64  // the same of the node that is furthest
+		seenConfig atomic.Uint64 // newest version of the configuration that a node has told of
+
 		mu     sync.RWMutex
 		out    map[string]bool // failure domains that the operator has taken out
 		orders map[string]shunt.ShiftOrder
@@ -256,3 +260,53 @@
 		w.SetOut(domain, is)
 	}
 }
+
+// read records how far the mesh topic was read.
+func (w *World) read(offset int64) { raise(&w.meshAt, offset) }
+
+// known returns the version of the configuration and how far the mesh topic was read.
+func (w *World) known() (config uint64, mesh int64) {
+	if t := w.table.Load(); t != nil {
+		config = t.Config().Version
+	}
+	return config, w.meshAt.Load()
+}
+
+// seen records what another node knows.
+func (w *World) seen(config uint64, mesh int64) {
+	raise(&w.seenMesh, mesh)
+	for old := w.seenConfig.Load(); config > old; old = w.seenConfig.Load() {
+		if w.seenConfig.CompareAndSwap(old, config) {
+			return
+		}
+	}
+}
+
+func (w *World) behindConfig() bool {
+	config, _ := w.known()
+	return config < w.seenConfig.Load()
+}
+
+func (w *World) behindMesh() bool { return w.meshAt.Load() < w.seenMesh.Load() }
+
+// first returns the first node of a failure domain by address, empty when none is known.
+func (w *World) first(domain string) string {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	first := ""
+	now := w.clock.Now()
+	for addr, p := range w.peers {
+		if e := p.get(); e.Domain == domain && !e.Stopping && !p.lost(now) && (first == "" || addr < first) {
+			first = addr
+		}
+	}
+	return first
+}
+
+func raise(to *atomic.Int64, v int64) {
+	for old := to.Load(); v > old; old = to.Load() {
+		if to.CompareAndSwap(old, v) {
+			return
+		}
+	}
+}
