Tell other nodes of a server that was taken over after a restart

Ruled out: load (refusals named no server), the store (it answered). Change: taking over tells the others; a trial loads one new server twice; failures of a new version are counted over the last observations; bodies of requests that must not run twice are sent once the other node has a place.

--- a/place/choose.go
+++ b/place/choose.go
@@ -10,8 +10,9 @@
 const (
 	// reportLife is the age at which a report of load counts half.
 	reportLife = 300 * time.Millisecond
-	// unknownWork is the expected time at a server of which nothing is known yet.
-	unknownWork = 100 * time.Millisecond
+	// unknownWork is the expected time at a server of which nothing is known yet, as a part of that at a server
+	// of mean speed. It is low so that a new server gets requests and shows its speed.
+	unknownWork = 0.6
 	// leastSuccess bounds the weight of a server that fails.
 	leastSuccess = 0.1
 	// farPerKilobyte is what a kilobyte sent to another failure domain costs, as time that a caller would wait
@@ -100,7 +101,7 @@
 	if c.Work > 0 {
 		return c.Work
 	}
-	return max(r.Work, unknownWork)
+	return time.Duration(unknownWork * float64(r.Work))
 }
 
 // waitAt estimates the wait from the last report, which fades, and from what this sender has sent since.
--- a/shift/evidence.go
+++ b/shift/evidence.go
@@ -8,6 +8,9 @@
 	"tanagershunt.example/shunt/count"
 )
 
+// recentWindows is the number of observations over which failures are summed up.
+const recentWindows = 6
+
 type (
 	// Tally holds what one node's backend server answered since a move began, by route. It only grows.
 	Tally struct {
@@ -25,10 +28,11 @@
 
 	// Evidence compares the versions of a service from the tallies of all nodes.
 	Evidence struct {
-		test     *canary.Test
-		last     map[string]map[string]counts // by node and route
-		answers  uint64
-		failures uint64
+		test    *canary.Test
+		last    map[string]map[string]counts // by node and route
+		answers uint64
+		recent  [recentWindows]counts // of the new version, latest observations
+		next    int
 	}
 
 	counts struct {
@@ -47,6 +51,9 @@
 
 // Observe takes in the growth of the tallies, which are given by node, since the last call.
 func (e *Evidence) Observe(at time.Time, r *Record, tallies map[string]*Tally) {
+	recent := &e.recent[e.next]
+	*recent = counts{}
+	e.next = (e.next + 1) % recentWindows
 	samples := make(map[string]*canary.Sample)
 	var names []string
 	for node, t := range tallies {
@@ -67,7 +74,8 @@
 			if t.Version == r.Target {
 				add(&s.New, grown)
 				e.answers += grown.requests
-				e.failures += grown.failures
+				recent.requests += grown.requests
+				recent.failures += grown.failures
 				continue
 			}
 			add(&s.Old, grown)
@@ -107,13 +115,18 @@
 	return grown, grown.requests > 0
 }
 
-// Verdict returns what the evidence says, and the answers and failures of the new version.
-func (e *Evidence) Verdict() (kind canary.Kind, answers, failures uint64) {
+// Verdict returns what the evidence says, the answers of the new version so far, and its failures and answers of
+// late.
+func (e *Evidence) Verdict() (kind canary.Kind, answers, recentFailures, recent uint64) {
 	kind = canary.Undecided
 	if e.test.Bad() {
 		kind = canary.Bad
 	}
-	return kind, e.answers, e.failures
+	for _, c := range e.recent {
+		recentFailures += c.failures
+		recent += c.requests
+	}
+	return kind, e.answers, recentFailures, recent
 }
 
 func add(to *canary.Counts, c counts) {
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -23,10 +23,15 @@
 
 const (
 	// settle is the time for which the old version finishes its requests after the switch.
-	settle = 1200 * time.Millisecond
-	// switchLead is the time before the deadline at which the switch happens: the settling, and a second for
-	// the store to take the two records.
-	switchLead = settle + 1200*time.Millisecond
+	settle = 1100 * time.Millisecond
+	// switchLead is the time before the deadline at which the switch happens: the settling, and time for the
+	// store to take two records, for a node that stops meanwhile and for the next one to step in.
+	switchLead = settle + 1900*time.Millisecond
+	// loadFor is how long one server of the new version is loaded fully, twice in a trial, since some faults
+	// show under load only.
+	loadFor = 1200 * time.Millisecond
+	// loadShare is the part of the requests offered to that server meanwhile. It takes what it has slots for.
+	loadShare = 0.5
 	// minTrial is the least number of answers of the new version before the switch.
 	minTrial = 20
 	// clearlyBad and leastBad decide without a comparison: so many failures among so large a share of the
@@ -56,8 +61,9 @@
 		Within   time.Duration
 		Verdict  canary.Kind
 		Answers  uint64 // of the new version
-		Failures uint64
-		NewReady int // servers of the new version that take requests
+		Recent   uint64 // its answers of late
+		Failures uint64 // those of them that failed
+		NewReady int    // servers of the new version that take requests
 	}
 )
 
@@ -67,7 +73,7 @@
 // Next returns the phase that the facts call for, and why when it differs.
 func (r *Record) Next(f Facts) (Phase, string) {
 	bad := f.Verdict == canary.Bad ||
-		f.Failures >= leastBad && float64(f.Failures) >= clearlyBad*float64(f.Answers)
+		f.Failures >= leastBad && float64(f.Failures) >= clearlyBad*float64(f.Recent)
 	switch {
 	case r.Phase.Ended():
 		return r.Phase, ""
@@ -83,6 +89,21 @@
 	return r.Phase, ""
 }
 
+// loadAt are the parts of a move's time at which a server of the new version is loaded.
+var loadAt = [...]float64{0.4, 0.65}
+
+// Share returns the part of the requests that are offered to the new version during the trial, where base is the
+// part in ordinary times. With focus they are offered to a single server.
+func Share(elapsed, within time.Duration, base float64) (share float64, focus bool) {
+	for _, part := range loadAt {
+		begin := time.Duration(part * float64(within))
+		if elapsed >= begin && elapsed < begin+loadFor {
+			return loadShare, true
+		}
+	}
+	return base, false
+}
+
 // Version returns the version for a request, where draw is uniform in [0, 1) and share is the new version's part
 // during the trial. An empty version means any.
 func (r *Record) Version(draw, share float64) string {
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -17,7 +17,10 @@
 	// maxDoors bounds the nodes that are asked for one request. Asking costs a round trip each.
 	maxDoors = 5
 	// expectBody is the size from which a body is sent to another node only after that node has a place for it.
+	// The body of a request that must not run twice always waits: a node that is gone cannot have run it then.
 	expectBody = 4 << 10
+	// trialPatience is the wait at a server of a new version up to which it is tried.
+	trialPatience = 20 * time.Millisecond
 	// shutPause is the time for which a server is left alone whose node takes no requests for it.
 	shutPause = 100 * time.Millisecond
 )
@@ -27,15 +30,15 @@
 	o := c.out
 	budget := o.budgets.of(c.service, o.Clock, o.Bounds(), len(o.World.nodes()))
 	budget.First()
-	version, trial := o.World.version(c.service, rand.Float64(), o.Bounds().ShiftShare)
+	version, trial, focus := o.World.version(c.service, rand.Float64(), o.Bounds().ShiftShare)
 	refused := make(map[string]time.Duration) // waits that nodes named
 	gone := make(map[string]bool)             // nodes not to be asked again
 	last := notRun("no server of " + c.service + " is known")
 	for c.doors < maxDoors && ctx.Err() == nil {
-		p, choice, ok := c.choose(version, refused, gone)
-		if !ok && trial {
-			// Too few servers of the new version: the old one takes the request.
-			version, trial = o.World.version(c.service, 1, 0)
+		p, choice, ok := c.choose(version, focus, refused, gone)
+		if trial && (!ok || len(refused) > 0) {
+			// The new version has no room: the old one takes the request.
+			version, trial, focus = o.World.version(c.service, 1, 0)
 			continue
 		}
 		if !ok {
@@ -43,8 +46,11 @@
 		}
 		addr := p.get().Calls
 		_, again := refused[addr]
-		if again {
+		switch {
+		case again:
 			choice.Patience = 0
+		case trial:
+			choice.Patience = trialPatience
 		}
 		res := c.try(ctx, p, choice.Patience)
 		switch {
@@ -103,7 +109,7 @@
 
 // choose returns the best node to ask.
 func (c *call) choose(
-	version string, refused map[string]time.Duration, gone map[string]bool,
+	version string, focus bool, refused map[string]time.Duration, gone map[string]bool,
 ) (*peerNode, place.Choice, bool) {
 	o := c.out
 	now := o.Clock.Now()
@@ -111,7 +117,11 @@
 	rate := o.World.spec(c.service).ColdRate
 	var peers []*peerNode
 	var list []place.Candidate
-	for _, p := range o.World.servers(c.service, version) {
+	servers := o.World.servers(c.service, version)
+	if focus && len(servers) > 0 {
+		servers = servers[:1]
+	}
+	for _, p := range servers {
 		candidate, ok := p.candidate(now, o.Domain)
 		if !ok || gone[candidate.Addr] {
 			continue
@@ -179,7 +189,7 @@
 	d.set(h)
 	resp, err := c.out.Pool.Do(ctx, addr, &conns.Request{
 		Method: c.method, URI: c.uri, Host: c.host, Header: h, Body: c.body, Limit: answerBytes,
-		Expect: len(c.body) >= expectBody,
+		Expect: len(c.body) >= expectBody || len(c.body) > 0 && !c.route.Repeatable,
 		Own:    func(_ int, h http.Header) bool { return h.Get(proxy.HeaderRequestID) == c.id },
 	})
 	if err == nil {
--- a/side/mover.go
+++ b/side/mover.go
@@ -20,7 +20,7 @@
 	// moveTick is how often moves are judged.
 	moveTick = 200 * time.Millisecond
 	// tallyEvery is how often a node tells what its server answered during a move.
-	tallyEvery = 400 * time.Millisecond
+	tallyEvery = 300 * time.Millisecond
 	// rankDelay is the time by which each further node waits longer to do what an earlier one should have done.
 	rankDelay = 400 * time.Millisecond
 	// maxRank bounds the nodes that step in.
@@ -134,10 +134,10 @@
 	}
 	now := m.Clock.Now()
 	j.evidence.Observe(now, v.record, v.tallies)
-	kind, answers, failures := j.evidence.Verdict()
+	kind, answers, failures, recent := j.evidence.Verdict()
 	phase, why := v.record.Next(shift.Facts{
 		Elapsed: now.Sub(v.heard), InPhase: now.Sub(v.since), Within: v.order.Within, Verdict: kind,
-		Answers: answers, Failures: failures, NewReady: v.ready,
+		Answers: answers, Recent: recent, Failures: failures, NewReady: v.ready,
 	})
 	if phase == v.record.Phase {
 		j.phase = phase
@@ -234,7 +234,7 @@
 		return
 	}
 	if m.rank(v.order) > 0 {
-		told, err := m.told2(ctx, v)
+		told, err := m.operatorKnows(ctx, v)
 		if err != nil {
 			log.WithError(err).Warn("answers to the operator can't be read")
 			return
@@ -265,8 +265,8 @@
 	log.WithFields(log.Fields{"service": v.order.Service, "phase": phase}).Info("operator told")
 }
 
-// told2 reports whether the operator knows of a move's end.
-func (m *Mover) told2(ctx context.Context, v moveView) (bool, error) {
+// operatorKnows reports whether the operator knows of a move's end.
+func (m *Mover) operatorKnows(ctx context.Context, v moveView) (bool, error) {
 	records, _, err := m.Store.Newest(ctx, m.Operator.Answers())
 	if err != nil {
 		return false, err
--- a/side/node.go
+++ b/side/node.go
@@ -135,7 +135,7 @@
 func (n *Node) bounds() Bounds {
 	b := n.settings.Load().Bounds
 	return Bounds{
-		RetryWindow: b.RetryWindow, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, ShiftShare: b.ShiftShare / 2,
+		RetryWindow: b.RetryWindow, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, ShiftShare: b.ShiftShare / 3,
 	}
 }
 
--- a/side/server.go
+++ b/side/server.go
@@ -174,6 +174,7 @@
 	s.accept(r)
 	s.mu.Unlock()
 	s.apply()
+	s.told(false)
 }
 
 // Doubt is called when the server broke a connection, which may mean that it has restarted: until it reports
--- a/side/world.go
+++ b/side/world.go
@@ -196,16 +196,21 @@
 	return oldest.Version
 }
 
-// version returns the version that a request to a service should meet, and whether it is the new version of a
-// trial.
-func (w *World) version(service string, draw, share float64) (version string, trial bool) {
+// version returns the version that a request to a service should meet, whether it is the new version of a trial,
+// and whether that is to be tried on a single server.
+func (w *World) version(service string, draw, share float64) (version string, trial, focus bool) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	if m := w.moves[service]; m != nil {
-		v := m.Version(draw, share)
-		return v, m.Phase == shift.Trial && v == m.Target
+	m := w.moves[service]
+	if m == nil {
+		return w.baseline(service), false, false
+	}
+	if o, ok := w.orders[service]; ok && o.Offset == m.Order && share > 0 {
+		share, focus = shift.Share(w.clock.Since(w.heard[service]), o.Within, share)
 	}
-	return w.baseline(service), false
+	v := m.Version(draw, share)
+	trial = m.Phase == shift.Trial && v == m.Target
+	return v, trial, trial && focus
 }
 
 // allows reports whether servers of a version may run a service's requests.
