Read the store once a failure domain and hand it on between nodes

Ruled out: longer waits alone, since each change wakes every reader. Change: the first live node of a failure domain reads; the others follow its feed over net/rpc and fall back to the next node and then to the store. Tallies of a move go to the nodes that decide, not through the store.

--- a/params/side.go
+++ b/params/side.go
@@ -40,6 +40,7 @@
 		Ready     string `json:"ready"`
 		Servers   string `json:"servers"`
 		Operators string `json:"operators"`
+		Control   string `json:"control"` // feed for other nodes
 	}
 
 	// SideStore says how the platform's store is reached and what it takes.
@@ -85,6 +86,7 @@
 		{"listeners.ready", s.Listeners.Ready},
 		{"listeners.servers", s.Listeners.Servers},
 		{"listeners.operators", s.Listeners.Operators},
+		{"listeners.control", s.Listeners.Control},
 		{"store.address", s.Store.Address},
 	} {
 		if err := checkAddress(f.field, f.value); err != nil {
--- a/shift/tally.go
+++ b/shift/tally.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
@@ -24,6 +25,16 @@
 	t.Routes[route] = r
 }
 
+// Clone returns a copy that shares nothing.
+func (t *Tally) Clone() Tally {
+	out := Tally{Order: t.Order, Version: t.Version, Routes: make(map[string]RouteTally, len(t.Routes))}
+	for name, r := range t.Routes {
+		r.Latency = maps.Clone(r.Latency)
+		out.Routes[name] = r
+	}
+	return out
+}
+
 // Total returns the number of answers.
 func (t *Tally) Total() uint64 {
 	var n uint64
--- a/side/follow.go
+++ b/side/follow.go
@@ -12,11 +12,16 @@
 )
 
 const (
-	// followWait is the time for which a read waits for news.
+	// followWait is the time for which a read of the store waits for news.
 	followWait = 5 * time.Second
-	// watchWait is the same for the node of each failure domain that watches whether the store still answers. The
-	// others learn from it, through the requests between nodes, that they missed something.
+	// watchWait is the same for the nodes that watch whether the store still answers. The others learn from them,
+	// through the requests between nodes, that they missed something.
 	watchWait = time.Second
+	// relayWait and relayTimeout bound a read from another node: waiting for news, and all beside it.
+	relayWait    = time.Second
+	relayTimeout = 500 * time.Millisecond
+	// directPause is the time between two reads of the store by a node that has lost those that read for it.
+	directPause = 800 * time.Millisecond
 	// behindFor is the time for which a node may know less than another before it reads anew: a read that waits
 	// in a store which came back from an outage may never be answered.
 	behindFor = 250 * time.Millisecond
@@ -29,22 +34,27 @@
 	maxBackoff   = 500 * time.Millisecond
 )
 
-// follower applies the newest records of a topic and then each change, until its context ends.
+// errNoSource means that no other node could be read from, and it is too early to read from the store again.
+var errNoSource = errors.New("no node to read from, and the store was read shortly before")
+
+// follower applies the newest records of a topic and then each change, until its context ends. It reads from one
+// of its relays, or from the store when there is none or none has the store.
 type follower struct {
-	store  shunt.Store
+	sync   *Sync
 	topic  string
 	apply  func(records []shunt.Keyed, whole bool)
 	synced func()
-	watch  func() bool // whether this node watches the store for its failure domain
 	behind func() bool // whether other nodes know more
 
-	next    int64 // offset to read from
-	current bool  // whether the topic was read as a whole and can be followed
-	failed  bool
+	next     int64 // offset to read from, -1 before the topic was read as a whole
+	failed   bool
+	directAt time.Time // earliest time of the next read from the store by a node that has relays
+	logged   bool
 }
 
 func (f *follower) run(ctx context.Context) {
 	backoff := firstBackoff
+	f.next = -1
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -66,40 +76,69 @@
 }
 
 func (f *follower) step(ctx context.Context) error {
-	if !f.current {
-		records, end, err := f.store.Newest(ctx, f.topic)
+	relays := f.sync.relays()
+	for _, addr := range relays {
+		records, next, whole, err := f.sync.followPeer(ctx, addr, f.topic, f.next)
+		if err == nil {
+			f.take(records, next, whole)
+			return nil
+		}
+		f.sync.shun(addr)
+	}
+	now := f.sync.Clock.Now()
+	if len(relays) > 0 && f.next >= 0 {
+		if now.Before(f.directAt) {
+			return errNoSource
+		}
+		f.directAt = now.Add(time.Duration((0.5 + rand.Float64()) * float64(directPause)))
+	}
+	return f.direct(ctx, len(relays) > 0)
+}
+
+// direct reads from the store. A node that has relays only catches up.
+func (f *follower) direct(ctx context.Context, hasRelays bool) error {
+	if f.next < 0 {
+		records, next, err := f.sync.Store.Newest(ctx, f.topic)
 		if err != nil {
 			return err
 		}
-		f.apply(records, true)
-		f.next, f.current = end, true
-		f.synced()
+		f.take(records, next, true)
 		return nil
 	}
 	wait := followWait
 	switch {
 	case f.failed:
 		wait = 0
-	case f.watch():
+	case hasRelays, f.sync.watches():
 		wait = watchWait
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go f.interrupt(ctx, cancel)
-	records, next, err := f.store.Follow(ctx, f.topic, f.next, wait)
+	records, next, err := f.sync.Store.Follow(ctx, f.topic, f.next, wait)
 	var truncated *shunt.TruncatedError
 	if errors.As(err, &truncated) {
-		f.current = false
+		f.next = -1
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if len(records) > 0 {
-		f.apply(records, false)
+	f.take(records, next, false)
+	return nil
+}
+
+// take applies what was read and hands it on.
+func (f *follower) take(records []shunt.Keyed, next int64, whole bool) {
+	if len(records) > 0 || whole {
+		f.apply(records, whole)
 	}
+	first := f.next < 0
 	f.next = next
-	return nil
+	f.sync.feed.add(f.topic, records, next, whole)
+	if first {
+		f.synced()
+	}
 }
 
 // interrupt ends a read once other nodes have known more for a while.
@@ -134,4 +173,7 @@
 		log.WithField("topic", f.topic).Info("store back")
 	}
 	f.failed = err != nil
+	if err != nil {
+		f.sync.feed.lose(f.topic)
+	}
 }
--- a/side/mover.go
+++ b/side/mover.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/peer"
 	"tanagershunt.example/shunt/shift"
 )
 
@@ -23,6 +25,8 @@
 	tallyEvery = 300 * time.Millisecond
 	// rankDelay is the time by which each further node waits longer to do what an earlier one should have done.
 	rankDelay = 400 * time.Millisecond
+	// tallyCopies is the number of nodes that are told of a tally: those that decide first.
+	tallyCopies = 3
 	// maxRank bounds the nodes that step in.
 	maxRank = 5
 )
@@ -36,6 +40,7 @@
 		Operator shunt.Operator
 		World    *World
 		Server   *Server
+		Peers    *peer.Pool
 		Self     string
 
 		mu    sync.Mutex
@@ -178,16 +183,17 @@
 
 // rank returns this node's place among all nodes for an order.
 func (m *Mover) rank(o shunt.ShiftOrder) int {
+	return max(slices.Index(m.ranked(o), m.Self), 0)
+}
+
+// ranked returns the nodes in the order in which they decide on a move.
+func (m *Mover) ranked(o shunt.ShiftOrder) []string {
 	weight := func(node string) uint64 {
 		return xxhash.Sum64String(node + "/" + o.Service + "/" + o.Target)
 	}
-	mine, rank := weight(m.Self), 0
-	for _, node := range m.World.nodes() {
-		if weight(node) < mine {
-			rank++
-		}
-	}
-	return rank
+	list := m.World.nodes()
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(weight(a), weight(b)) })
+	return list
 }
 
 // write stores a move's record unless another node did so first: the record is appended only if the topic has
@@ -312,19 +318,44 @@
 		return
 	}
 	m.at = now
-	data, err := json.Marshal(m.tally)
+	args := TallyArgs{Node: m.Self, Tally: m.tally.Clone()}
 	m.mu.Unlock()
-	if err != nil {
-		log.WithError(err).Error("tally can't be encoded")
-		return
-	}
 	report, _ := m.Server.Current()
-	key := keyTally + report.Service + "/" + m.Self
-	if _, err := m.Store.Append(ctx, topicMesh, -1, shunt.Keyed{Key: key, Value: data}); err != nil {
-		log.WithError(err).Warn("tally was not stored")
-		return
+	args.Service = report.Service
+	m.World.setTally(args.Service, m.Self, &args.Tally)
+	for _, addr := range m.judges(args.Service, args.Tally.Order) {
+		go m.push(ctx, addr, args)
 	}
 	m.mu.Lock()
 	m.told = total
 	m.mu.Unlock()
 }
+
+// push tells another node of the tally.
+func (m *Mover) push(ctx context.Context, addr string, args TallyArgs) {
+	ctx, cancel := context.WithTimeout(ctx, tallyEvery)
+	defer cancel()
+	if err := m.Peers.Call(ctx, addr, feedService, feedService+".Tally", args, &struct{}{}); err != nil {
+		log.WithError(err).WithField("node", addr).Debug("tally was not taken")
+	}
+}
+
+// judges returns the feeds of the nodes that decide on a service's move.
+func (m *Mover) judges(service string, order int64) []string {
+	m.World.mu.RLock()
+	o, ok := m.World.orders[service]
+	m.World.mu.RUnlock()
+	if !ok || o.Offset != order {
+		return nil
+	}
+	var list []string
+	for _, node := range m.ranked(o) {
+		if e, ok := m.World.entryOf(node); ok && node != m.Self && e.Control != "" {
+			list = append(list, e.Control)
+		}
+		if len(list) == tallyCopies {
+			break
+		}
+	}
+	return list
+}
--- a/side/node.go
+++ b/side/node.go
@@ -18,6 +18,7 @@
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/conns"
 	"tanagershunt.example/shunt/params"
+	"tanagershunt.example/shunt/peer"
 	"tanagershunt.example/shunt/proxy"
 	"tanagershunt.example/shunt/sched"
 )
@@ -33,6 +34,8 @@
 	stopMargin = time.Second
 	// peerDialTimeout bounds a connection to another node; their ways are a few milliseconds long.
 	peerDialTimeout = 400 * time.Millisecond
+	// peerBackoffCap bounds the pause before the next attempt to connect to another node's feed.
+	peerBackoffCap = 2 * time.Second
 	// peerUserTimeout ends a connection to another node on which sent bytes stay unacknowledged.
 	peerUserTimeout = 700 * time.Millisecond
 	// serverDialTimeout bounds a connection to the server beside the node.
@@ -70,6 +73,8 @@
 		outbound *Outbound
 		sync     *Sync
 		mover    *Mover
+		feed     *Feed
+		rpc      *peer.Server
 		meter    *Meter
 		calls    *gate
 
@@ -99,12 +104,21 @@
 	n.server = NewServer(c, n.queue, func() shunt.ServiceSpec {
 		return n.world.spec(n.settings.Load().Service)
 	}, s.Service, s.Server)
+	counters := &peer.Counters{}
+	peers := peer.NewPool(peer.Options{
+		Clock: c, Counters: counters, DialTimeout: peerDialTimeout, BackoffCap: peerBackoffCap,
+		Seed: uint64(c.Now().UnixNano()),
+	})
+	n.rpc = peer.NewServer(peer.ServerOptions{Counters: counters})
+	n.feed = newFeed(c, n.world)
 	n.sync = &Sync{
+		Peers: peers, Control: s.Listeners.Control, feed: n.feed,
 		Clock: c, Store: a.Store, Operator: a.Operator, World: n.world, Server: n.server, Self: s.Listeners.Calls,
 		Domain: s.Domain, Started: c.Now().UnixNano(),
 	}
 	n.mover = &Mover{
 		Clock: c, Store: a.Store, Operator: a.Operator, World: n.world, Server: n.server, Self: s.Listeners.Calls,
+		Peers: peers,
 	}
 	n.door = &Door{
 		Clock: c, Dialect: a.Dialect, World: n.world, Server: n.server, Queue: n.queue, Meter: n.meter,
@@ -158,6 +172,9 @@
 			return err
 		}
 	}
+	if err := n.serveFeed(s.Listeners.Control); err != nil {
+		return err
+	}
 	for _, run := range []func(context.Context){n.sync.Run, n.mover.Run, n.restore} {
 		n.wg.Go(func() { run(n.ctx) })
 	}
@@ -167,6 +184,22 @@
 	return nil
 }
 
+func (n *Node) serveFeed(addr string) error {
+	if err := n.rpc.Register(feedService, n.feed); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("listener for feed: %w", err)
+	}
+	n.wg.Go(func() {
+		if err := n.rpc.Serve(l); err != nil {
+			log.WithError(err).WithField("listener", "feed").Error("listener failed")
+		}
+	})
+	return nil
+}
+
 func (n *Node) listen(name, addr string, srv *http.Server) error {
 	l, err := net.Listen("tcp4", addr)
 	if err != nil {
--- a/side/sync.go
+++ b/side/sync.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/peer"
 	"tanagershunt.example/shunt/shift"
 )
 
@@ -23,10 +24,14 @@
 
 	keyMember = "member/" // + address for calls
 	keyMove   = "move/"   // + service
-	keyTally  = "tally/"  // + service + "/" + address for calls
 
 	// urgentTell bounds how long the word of a leaving server waits for the store before it is acknowledged.
 	urgentTell = 400 * time.Millisecond
+	// firstShun and maxShun bound the time for which a feed that failed is left alone.
+	firstShun = time.Second
+	maxShun   = 8 * time.Second
+	// watchedDomains is the number of failure domains whose reading node watches the store.
+	watchedDomains = 2
 	// tellBackoff is the pause after a record could not be stored.
 	tellBackoff = 300 * time.Millisecond
 )
@@ -38,13 +43,18 @@
 	Operator shunt.Operator
 	World    *World
 	Server   *Server
-	Self     string // address of this node for calls
+	Peers    *peer.Pool // connections to other nodes' feeds
+	Self     string     // address of this node for calls
+	Control  string     // address of this node's feed
 	Domain   string
 	Started  int64
 
+	feed *Feed
+
 	orders, mesh atomic.Bool // whether the topics were read once
 
 	mu      sync.Mutex
+	shunned map[string]shunned // feeds that failed, by address
 	stopped bool
 	changed chan struct{}
 	stored  chan struct{} // closed once the current entry is stored
@@ -53,20 +63,22 @@
 // Run follows the store until ctx ends.
 func (s *Sync) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go((&follower{
-		store: s.Store, topic: s.Operator.Orders(), apply: s.applyOrders, synced: func() { s.orders.Store(true) },
-		watch: s.watches, behind: s.World.behindConfig,
-	}).runIn(ctx))
-	wg.Go((&follower{
-		store: s.Store, topic: topicMesh, apply: s.applyMesh, synced: func() { s.mesh.Store(true) },
-		watch: s.watches, behind: s.World.behindMesh,
-	}).runIn(ctx))
+	for _, f := range []*follower{
+		{
+			sync: s, topic: s.Operator.Orders(), apply: s.applyOrders, behind: s.World.behindConfig,
+			synced: func() { s.orders.Store(true) },
+		},
+		{
+			sync: s, topic: topicMesh, apply: s.applyMesh, behind: s.World.behindMesh,
+			synced: func() { s.mesh.Store(true) },
+		},
+	} {
+		wg.Go(func() { f.run(ctx) })
+	}
 	wg.Go(func() { s.tellAll(ctx) })
 	wg.Wait()
 }
 
-func (f *follower) runIn(ctx context.Context) func() { return func() { f.run(ctx) } }
-
 // Ready reports whether the node knows what it needs to serve.
 func (s *Sync) Ready() bool { return s.mesh.Load() && s.World.Table() != nil }
 
@@ -97,8 +109,63 @@
 	}
 }
 
-// watches reports whether this node is the one of its failure domain that watches the store.
-func (s *Sync) watches() bool { return s.World.first(s.Domain) == s.Self }
+// shunned is a feed that failed.
+type shunned struct {
+	until time.Time
+	pause time.Duration
+}
+
+// relays returns the feeds from which this node reads, best first, and none when it reads from the store itself.
+// In each failure domain the first live node by address reads from the store, and the next ones take its place.
+func (s *Sync) relays() []string {
+	const most = 2
+	var list []string
+	for _, e := range s.World.live(s.Domain) {
+		if e.Calls == s.Self {
+			return list
+		}
+		if e.Control == "" || s.isShunned(e.Control) {
+			continue
+		}
+		if list = append(list, e.Control); len(list) == most {
+			return list
+		}
+	}
+	return list
+}
+
+// shun leaves a feed alone for a while.
+func (s *Sync) shun(control string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.shunned == nil {
+		s.shunned = make(map[string]shunned)
+	}
+	now := s.Clock.Now()
+	old := s.shunned[control]
+	pause := firstShun
+	if now.Sub(old.until) < old.pause {
+		pause = min(2*old.pause, maxShun)
+	}
+	s.shunned[control] = shunned{until: now.Add(pause), pause: pause}
+}
+
+func (s *Sync) isShunned(control string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock.Now().Before(s.shunned[control].until)
+}
+
+// watches reports whether this node is one of those that watch the store for all.
+func (s *Sync) watches() bool {
+	domains := s.World.domains()
+	for _, domain := range domains[:min(len(domains), watchedDomains)] {
+		if domain == s.Domain {
+			return true
+		}
+	}
+	return false
+}
 
 func (s *Sync) applyMesh(records []shunt.Keyed, _ bool) {
 	for _, k := range records {
@@ -132,14 +199,6 @@
 		s.World.setMove(service, r)
 		return nil
 	}
-	if rest, ok := strings.CutPrefix(k.Key, keyTally); ok {
-		service, node, _ := strings.Cut(rest, "/")
-		var t shift.Tally
-		if err := json.Unmarshal(k.Value, &t); err != nil {
-			return err
-		}
-		s.World.setTally(service, node, &t)
-	}
 	return nil
 }
 
@@ -182,7 +241,7 @@
 	stopping := s.stopped
 	s.mu.Unlock()
 	return entry{
-		Calls: s.Self, Domain: s.Domain, Service: r.Service, Server: r.ID, Born: r.Born, Sequence: r.Sequence,
+		Calls: s.Self, Control: s.Control, Domain: s.Domain, Service: r.Service, Server: r.ID, Born: r.Born, Sequence: r.Sequence,
 		Version: r.Version, Slots: r.Slots, Leaving: r.Leaving, ColdMS: s.Server.Cold().Milliseconds(),
 		Started: s.Started, Stopping: stopping,
 	}
--- a/side/world.go
+++ b/side/world.go
@@ -20,7 +20,8 @@
 type (
 	// entry is what a node tells the others of its backend server. It is a record of the members topic.
 	entry struct {
-		Calls    string `json:"calls"` // address of the node for calls, identifies the entry
+		Calls    string `json:"calls"`   // address of the node for calls, identifies the entry
+		Control  string `json:"control"` // address of the node's feed
 		Domain   string `json:"domain"`
 		Service  string `json:"service"`
 		Server   string `json:"server"` // identifier
@@ -167,13 +168,14 @@
 	return p.get(), true
 }
 
-// nodes returns the addresses of all nodes that are not stopping, sorted.
+// nodes returns the addresses of all nodes that neither stop nor were lost lately, sorted.
 func (w *World) nodes() []string {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	list := make([]string, 0, len(w.peers))
+	now := w.clock.Now()
 	for addr, p := range w.peers {
-		if !p.get().Stopping {
+		if !p.get().Stopping && !p.lost(now) {
 			list = append(list, addr)
 		}
 	}
@@ -294,18 +296,34 @@
 
 func (w *World) behindMesh() bool { return w.meshAt.Load() < w.seenMesh.Load() }
 
-// first returns the first node of a failure domain by address, empty when none is known.
-func (w *World) first(domain string) string {
+// live returns the entries of the nodes of a failure domain that do not stop and were not lost lately, sorted by
+// address.
+func (w *World) live(domain string) []entry {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	first := ""
+	var list []entry
 	now := w.clock.Now()
-	for addr, p := range w.peers {
-		if e := p.get(); e.Domain == domain && !e.Stopping && !p.lost(now) && (first == "" || addr < first) {
-			first = addr
+	for _, p := range w.peers {
+		if e := p.get(); e.Domain == domain && !e.Stopping && !p.lost(now) {
+			list = append(list, e)
 		}
 	}
-	return first
+	slices.SortFunc(list, func(a, b entry) int { return cmp.Compare(a.Calls, b.Calls) })
+	return list
+}
+
+// domains returns the failure domains of all nodes that do not stop, sorted.
+func (w *World) domains() []string {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	var list []string
+	for _, p := range w.peers {
+		if e := p.get(); !e.Stopping && !slices.Contains(list, e.Domain) {
+			list = append(list, e.Domain)
+		}
+	}
+	slices.Sort(list)
+	return list
 }
 
 func raise(to *atomic.Int64, v int64) {
