--- a/sched/queue.go
+++ b/sched/queue.go
@@ -17,6 +17,7 @@
 	ReasonBusy    Reason = "would wait longer than its sender accepts"
 	ReasonClosed  Reason = "server takes no new requests"
 	ReasonExpired Reason = "could no longer end before its deadline"
+	ReasonStarved Reason = "is late, and late requests find no slot before their deadlines"
 	ReasonLeft    Reason = "caller left while the request waited"
 )
 
@@ -24,6 +25,13 @@
 	// finishShare is the part of the expected work that must fit before the deadline. Half of all requests
 	// take less than the mean, and one that is given up here gets nothing.
 	finishShare = 0.7
+	// heldShare is the part of a request's time for which it is held once it can't meet its aim. Then it is refused
+	// while its caller still has time to come back.
+	heldShare = 0.5
+	// starved is the share of late requests that find a slot, below which they are refused instead of held.
+	starved = 0.4
+	// lateWeight is the weight of one request in that moving share.
+	lateWeight = 0.08
 	// maxWaiting bounds the queue whatever the expected work is.
 	maxWaiting = 512
 )
@@ -61,12 +69,13 @@
 		pace    Pace
 		wake    clockwork.Timer
 		work    time.Duration // mean time of recent requests
+		missed  float64       // moving share of late requests that found no slot in time
 	}
 
 	// Waiter is a request in the queue.
 	Waiter struct {
 		Ask
-		seq     uint64
+		giveUp  time.Time // when a late request is refused
 		done    chan struct{}
 		refusal *Refusal
 		settled bool
@@ -137,13 +146,19 @@
 		return nil, &Refusal{Reason: ReasonClosed}
 	}
 	wait := q.expectedWait(now, &ask)
+	late := !ask.Nested && now.Add(wait+ask.Work).After(ask.AimAt)
 	switch {
+	case late && wait > 0 && q.starves():
+		return nil, &Refusal{Reason: ReasonStarved, Wait: wait}
 	case now.Add(wait + share(ask.Work)).After(ask.Deadline):
 		return nil, &Refusal{Reason: ReasonLate, Wait: wait}
 	case ask.Patience > 0 && wait > ask.Patience, len(q.waiting) >= maxWaiting:
 		return nil, &Refusal{Reason: ReasonBusy, Wait: wait}
 	}
-	w := &Waiter{Ask: ask, done: make(chan struct{})}
+	w := &Waiter{
+		Ask: ask, done: make(chan struct{}),
+		giveUp: now.Add(time.Duration(heldShare * float64(ask.Deadline.Sub(now)))),
+	}
 	q.waiting = append(q.waiting, w)
 	q.dispatch(now)
 	return w, nil
@@ -162,6 +177,9 @@
 	default:
 		q.work += time.Duration(weight * float64(took-q.work))
 	}
+	if len(q.waiting) == 0 {
+		q.learnLate(false)
+	}
 	q.dispatch(q.clock().Now())
 }
 
@@ -232,6 +250,9 @@
 		}
 		w := q.best(now)
 		q.drop(w)
+		if !w.timely(now) {
+			q.learnLate(false)
+		}
 		q.running++
 		q.pace.Start(now)
 		w.settle(nil)
@@ -253,15 +274,35 @@
 	kept := q.waiting[:0]
 	for _, w := range q.waiting {
 		if now.Add(share(w.Work)).After(w.Deadline) {
+			q.learnLate(true)
 			w.settle(&Refusal{Reason: ReasonExpired})
 			continue
 		}
+		if !w.Nested && !w.timely(now) && q.running >= q.limit && (q.starves() || now.After(w.giveUp)) {
+			q.learnLate(true)
+			w.settle(&Refusal{Reason: ReasonStarved, Wait: q.work})
+			continue
+		}
 		kept = append(kept, w)
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
 }
 
+// learnLate counts a late request that found a slot or did not. A server without a backlog counts as one that has
+// slots for them.
+func (q *Queue) learnLate(missed bool) {
+	outcome := 0.0
+	if missed {
+		outcome = 1
+	}
+	q.missed += lateWeight * (outcome - q.missed)
+}
+
+// starves reports whether late requests rarely find a slot, because those that can still meet their aim take them
+// all. Holding them would only keep their callers from trying elsewhere.
+func (q *Queue) starves() bool { return q.missed > 1-starved }
+
 func (q *Queue) best(now time.Time) *Waiter {
 	best := q.waiting[0]
 	for _, w := range q.waiting[1:] {
--- /dev/null
+++ b/side/sync_test.go
@@ -0,0 +1,241 @@
+package side
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/peer"
+	"tanagershunt.example/shunt/sched"
+)
+
+// testSync returns a Sync of a node that serves no feed.
+func testSync(t *testing.T, store *fakeStore, self, domain string) *Sync {
+	t.Helper()
+	c := clockwork.NewRealClock()
+	w := NewWorld(c)
+	server := NewServer(c, &sched.Queue{Clock: c}, func() shunt.ServiceSpec { return shunt.ServiceSpec{} },
+		testService, testAddress)
+	pool := peer.NewPool(peer.Options{DialTimeout: 100 * time.Millisecond})
+	t.Cleanup(pool.Close)
+	s := &Sync{
+		Clock: c, Store: store, Operator: fakeOperator{}, World: w, Server: server, Peers: pool, Self: self,
+		Domain: domain, Started: 1, feed: newFeed(c, w),
+	}
+	server.told = s.Tell
+	return s
+}
+
+func start(t *testing.T, s *Sync) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// within waits for a condition.
+func within(t *testing.T, d time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(d); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", d, what)
+		}
+	}
+}
+
+func put(t *testing.T, store *fakeStore, topic string, records ...shunt.Keyed) {
+	t.Helper()
+	if _, err := store.Append(t.Context(), topic, -1, records...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func config(version uint64) shunt.Keyed {
+	return order(shunt.Order{Kind: shunt.OrderConfig, Config: &shunt.MeshConfig{Version: version}})
+}
+
+// inForce reports the version in force.
+func inForce(s *Sync) uint64 {
+	v, _ := s.World.known()
+	return v
+}
+
+// TestFollow guards that a node learns each change, and never returns to an older configuration, through an outage,
+// lost history, an older record and one that can't be read.
+func TestFollow(t *testing.T) {
+	store := newFakeStore()
+	put(t, store, "orders", config(3))
+	s := testSync(t, store, "10.0.0.1:1", "a")
+	start(t, s)
+	within(t, time.Second, "first configuration", func() bool { return inForce(s) == 3 && s.Ready() })
+
+	put(t, store, "orders", config(5), config(4), shunt.Keyed{Key: "config", Value: []byte("{")})
+	within(t, time.Second, "newer configuration", func() bool { return inForce(s) == 5 })
+
+	store.set(func(f *fakeStore) { f.down = true })
+	time.Sleep(100 * time.Millisecond)
+	store.set(func(f *fakeStore) {
+		f.down = false
+		f.topics["orders"] = append(f.topics["orders"], config(7))
+		f.first["orders"] = int64(len(f.topics["orders"]))
+	})
+	within(t, 2*time.Second, "configuration after an outage", func() bool { return inForce(s) == 7 })
+
+	put(t, store, "orders", order(shunt.Order{Kind: shunt.OrderEvacuate, Domain: "b"}))
+	within(t, time.Second, "failure domain out", func() bool { return s.World.Out("b") })
+	put(t, store, "orders", shunt.Keyed{Key: "b"})
+	within(t, time.Second, "failure domain back", func() bool { return !s.World.Out("b") })
+	if got := inForce(s); got != 7 {
+		t.Errorf("configuration %d in force, want 7", got)
+	}
+}
+
+// TestBehind guards that a node whose read of the store hangs learns from another node's request that it missed
+// something, and reads anew.
+func TestBehind(t *testing.T) {
+	store := newFakeStore()
+	put(t, store, "orders", config(1))
+	s := testSync(t, store, "10.0.0.1:1", "a")
+	start(t, s)
+	within(t, time.Second, "first configuration", func() bool { return inForce(s) == 1 })
+	time.Sleep(2 * coalesce)
+	store.mu.Lock() // the change reaches no read that waits
+	store.topics["orders"] = append(store.topics["orders"], shunt.Keyed{
+		Key: "config", Value: config(2).Value, Offset: int64(len(store.topics["orders"])),
+	})
+	store.mu.Unlock()
+	s.World.seeKnown("2/0")
+	within(t, behindFor+time.Second, "configuration that another node has", func() bool { return inForce(s) == 2 })
+}
+
+// TestTell guards that a server's leaving is stored before it is acknowledged, that an outage bounds the wait, and
+// that the entry is stored after it.
+func TestTell(t *testing.T) {
+	store := newFakeStore()
+	put(t, store, "orders", config(1))
+	s := testSync(t, store, "10.0.0.1:1", "a")
+	start(t, s)
+	within(t, time.Second, "start", s.Ready)
+	if err := s.Server.Heard(report("a", 1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Server.Heard(leaving(report("a", 1, 2))); err != nil {
+		t.Fatal(err)
+	}
+	if e, ok := stored(t, store); !ok || !e.Leaving {
+		t.Errorf("stored entry %+v when the leaving was acknowledged", e)
+	}
+
+	store.set(func(f *fakeStore) { f.down = true })
+	began := time.Now()
+	if err := s.Server.Heard(leaving(report("b", 2, 1))); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > urgentTell+300*time.Millisecond {
+		t.Errorf("acknowledged after %s without a store", took)
+	}
+	store.set(func(f *fakeStore) { f.down = false })
+	within(t, 2*time.Second, "entry after the outage", func() bool {
+		e, ok := stored(t, store)
+		return ok && e.Server == "b" && e.Leaving
+	})
+}
+
+func stored(t *testing.T, store *fakeStore) (entry, bool) {
+	t.Helper()
+	w := NewWorld(clockwork.NewRealClock())
+	s := &Sync{World: w}
+	store.mu.Lock()
+	records := store.topics[topicMesh]
+	store.mu.Unlock()
+	s.applyMesh(records, true)
+	return w.entryOf("10.0.0.1:1")
+}
+
+// TestRelay guards that the nodes of a failure domain read the store through the first of them, and that another
+// takes its place when it ends.
+func TestRelay(t *testing.T) {
+	store := newFakeStore()
+	put(t, store, "orders", config(1))
+	var nodes []*Sync
+	var stops []func()
+	for i := range 4 {
+		s := testSync(t, store, fmt.Sprintf("127.0.0.1:%d", i+1), "a")
+		stop := serveFeed(t, s)
+		stops = append(stops, stop)
+		nodes = append(nodes, s)
+	}
+	for i, s := range nodes {
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.Run(ctx)
+		}()
+		end := stops[i]
+		stops[i] = func() {
+			cancel()
+			<-done
+			end()
+		}
+		s.Tell(false)
+	}
+	stopped := make([]bool, len(nodes))
+	stopAt := func(i int) {
+		if !stopped[i] {
+			stopped[i] = true
+			stops[i]()
+		}
+	}
+	t.Cleanup(func() {
+		for i := range stops {
+			stopAt(i)
+		}
+	})
+	within(t, 3*time.Second, "all know all", func() bool {
+		for _, s := range nodes {
+			if len(s.World.live("a")) != len(nodes) {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(relayWait + relayTimeout)
+	store.mu.Lock()
+	before := store.reads
+	store.mu.Unlock()
+	put(t, store, "orders", config(2))
+	within(t, time.Second, "change through the feeds", func() bool { return all(nodes, 2) })
+	time.Sleep(100 * time.Millisecond)
+	store.mu.Lock()
+	reads := store.reads - before
+	store.mu.Unlock()
+	// The first node reads both topics, and its wait wakes for each change of either.
+	if reads > 6 {
+		t.Errorf("%d reads of the store for one change, want 6 at most", reads)
+	}
+
+	stopAt(0)
+	put(t, store, "orders", config(3))
+	within(t, 3*time.Second, "change after the first node ended", func() bool { return all(nodes[1:], 3) })
+}
+
+func all(nodes []*Sync, version uint64) bool {
+	for _, s := range nodes {
+		if inForce(s) != version {
+			return false
+		}
+	}
+	return true
+}
