--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 LINT_VERSION := v2.15.0
-MODULES := . bench demo logd node oper
+MODULES := . bench demo logd mesh node oper
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 RACE ?= -race
 # SEED fixes the choices of all property tests, so that a verdict does not change between runs.
 SEED ?= 20261204
 
-.PHONY: all build run test lint format bench clean
+.PHONY: all build run test lint words format bench clean
 
 all: build
 
@@ -27,6 +27,13 @@
 lint: $(LINT)
 	@for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
+# Names of the platform that only platform/ and deploy/ may use.
+PLATFORM_WORDS := Target-Instance|Response-Signature|Not-Executed|Caller-Service|Server-Load|Instance-Id|Cold-Remaining|Deadline-Ms|log-append|log-newest|log-read|keyed\.(op|servers|status)|path-prefix|traffic-split|target-latency-ms|cold-per-s
+
+words:
+	@! git grep -nE '$(PLATFORM_WORDS)' -- '*.go' ':!platform/' ':!proxy/' || \
+		{ echo "names of the platform outside platform/"; exit 1; }
+
 format: $(LINT)
 	@for m in $(MODULES); do (cd $$m && $(LINT) fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
@@ -35,7 +42,7 @@
 	@go run ./bench -o out
 
 clean:
-	rm -rf $(BIN) out
+	rm -rf $(BIN) out target
 
 $(LINT):
 	@mkdir -p $(BIN)
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -177,6 +177,7 @@
 	waiting := r.Expect
 	for foreign := 0; foreign < maxForeign; {
 		w.c.bounded.left = r.Limit + headerAllowance
+		//nolint:bodyclose // the body is read to its end; closing the connection is up to the caller
 		resp, err := http.ReadResponse(w.c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, false, fmt.Errorf("reading the answer: %w", err)
--- a/conns/exchange_test.go
+++ b/conns/exchange_test.go
@@ -53,6 +53,11 @@
 	return req.Header.Get("Id"), true
 }
 
+// say writes to a connection; a peer that has left shows in the request's error.
+func say(c net.Conn, text string) {
+	_, _ = io.WriteString(c, text)
+}
+
 func get(id string) *conns.Request {
 	return &conns.Request{
 		Method: http.MethodGet, URI: "/", Host: "x", Header: http.Header{"Id": {id}}, Limit: 1 << 20,
@@ -76,30 +81,30 @@
 		send func(c net.Conn, id string)
 		want string // body, empty for an error
 	}{
-		{"whole", func(c net.Conn, id string) { io.WriteString(c, answer(id, "whole")) }, "whole"},
+		{"whole", func(c net.Conn, id string) { say(c, answer(id, "whole")) }, "whole"},
 		{"after the answer to another request", func(c net.Conn, id string) {
-			io.WriteString(c, answer("other", "not yours")+answer(id, "yours"))
+			say(c, answer("other", "not yours")+answer(id, "yours"))
 		}, "yours"},
 		{"answer without an identifier", func(c net.Conn, _ string) {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+			say(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
 		}, ""},
 		{"cut short", func(c net.Conn, id string) {
-			io.WriteString(c, strings.TrimSuffix(answer(id, "cut short"), "short"))
+			say(c, strings.TrimSuffix(answer(id, "cut short"), "short"))
 		}, ""},
 		{"chunks cut short", func(c net.Conn, id string) {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+			say(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
 		}, ""},
 		{"unframed until the end", func(c net.Conn, id string) {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nunframed")
+			say(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nunframed")
 		}, "unframed"},
 		{"unframed and reset", func(c net.Conn, id string) {
-			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nunfra")
+			say(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nunfra")
 			time.Sleep(20 * time.Millisecond)
 			reset(c)
 		}, ""},
-		{"no HTTP", func(c net.Conn, _ string) { io.WriteString(c, "\x00\x01garbage\r\n\r\n") }, ""},
+		{"no HTTP", func(c net.Conn, _ string) { say(c, "\x00\x01garbage\r\n\r\n") }, ""},
 		{"informational first", func(c net.Conn, id string) {
-			io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+answer(id, "final"))
+			say(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+answer(id, "final"))
 		}, "final"},
 		{"nothing", func(net.Conn, string) {}, ""},
 	} {
@@ -138,9 +143,9 @@
 				if !ok {
 					return
 				}
-				io.WriteString(c, answer(id, id))
+				say(c, answer(id, id))
 				time.Sleep(late)
-				io.WriteString(c, answer(id, "again"))
+				say(c, answer(id, "again"))
 			}
 		})
 		pool := conns.New(conns.Options{})
@@ -166,7 +171,7 @@
 			if !ok {
 				return
 			}
-			io.WriteString(c, answer(id, id))
+			say(c, answer(id, id))
 			if closing.Load() {
 				return
 			}
@@ -215,13 +220,13 @@
 			if err != nil {
 				return
 			}
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+			say(c, "HTTP/1.1 100 Continue\r\n\r\n")
 			got, _ := io.ReadAll(req.Body)
-			io.WriteString(c, answer("a", fmt.Sprint(len(got))))
+			say(c, answer("a", fmt.Sprint(len(got))))
 		}, http.StatusOK, true},
 		{"refused", func(c net.Conn, r *bufio.Reader) {
 			if _, err := http.ReadRequest(r); err == nil {
-				io.WriteString(c, "HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 0\r\n\r\n")
+				say(c, "HTTP/1.1 503 Busy\r\nId: a\r\nContent-Length: 0\r\n\r\n")
 			}
 		}, http.StatusServiceUnavailable, true},
 		{"gone", func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) }, 0, false},
@@ -253,7 +258,7 @@
 			if err != nil {
 				return
 			}
-			io.WriteString(c, answer(req.Header.Get("Id"), "early"))
+			say(c, answer(req.Header.Get("Id"), "early"))
 			time.Sleep(50 * time.Millisecond)
 			if _, err := io.Copy(io.Discard, req.Body); err != nil {
 				return
--- a/mesh.go
+++ b/mesh.go
@@ -192,7 +192,12 @@
 		// Newest returns the newest record of each key and the offset from which to follow the topic.
 		Newest(ctx context.Context, topic string) (records []Keyed, end int64, err error)
 		// Follow waits up to wait for records from an offset on. It returns a *TruncatedError when they are gone.
-		Follow(ctx context.Context, topic string, from int64, wait time.Duration) (records []Keyed, end int64, err error)
+		Follow(
+			ctx context.Context,
+			topic string,
+			from int64,
+			wait time.Duration,
+		) (records []Keyed, end int64, err error)
 	}
 )
 
--- a/mesh/main.go
+++ b/mesh/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -14,8 +15,6 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
-	"net/http"
-
 	"tanagershunt.example/shunt/logkv"
 	"tanagershunt.example/shunt/params"
 	"tanagershunt.example/shunt/platform"
@@ -62,11 +61,11 @@
 	logkv.Setup(out, settings.LogLevel)
 	debug.SetGCPercent(heapPercent)
 	if settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryShare * settings.Memory * (1 << 20)))
 	}
 	app := fx.New(
 		fx.NopLogger,
-		fx.StopTimeout(settings.Bounds.Grace),
+		fx.StopTimeout(time.Duration(settings.Bounds.Grace*float64(time.Second))),
 		fx.Supply(settings),
 		fx.Provide(
 			clockwork.NewRealClock,
--- /dev/null
+++ b/mesh/main_test.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"tsmesh": main})
+}
+
+// TestScripts runs the program as users do. See testdata.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
+		e.Setenv("TANAGERSHUNT_SETTINGS", e.WorkDir+"/settings.json")
+		return nil
+	}, Cmds: map[string]func(*testscript.TestScript, bool, []string){
+		// waitready gives a program that was started in the background time to start and to miss the store.
+		"waitready": func(*testscript.TestScript, bool, []string) { time.Sleep(2 * time.Second) },
+	}})
+}
--- a/place/choose.go
+++ b/place/choose.go
@@ -22,6 +22,8 @@
 	farBase = 3 * time.Millisecond
 	// leastPatience is the shortest wait for which a sender prefers no other server.
 	leastPatience = 8 * time.Millisecond
+	// nearlyFull is the expected wait at a server that is all but full, as a part of a request's time.
+	nearlyFull = 0.1
 	// overhead is the size of the headers of a request and its answer between nodes.
 	overhead = 900
 	kilobyte = 1024
@@ -122,7 +124,8 @@
 	over := busy + 1 - slots
 	if over <= 0 {
 		// A server that is nearly full is likely to be full when the request arrives.
-		return time.Duration(float64(workAt(c, r)) * 0.1 * math.Pow(busy/slots, 3))
+		used := busy / slots
+		return time.Duration(nearlyFull * used * used * used * float64(workAt(c, r)))
 	}
 	return time.Duration(over / slots * float64(workAt(c, r)))
 }
--- a/place/choose_test.go
+++ b/place/choose_test.go
@@ -39,8 +39,10 @@
 		{"warm one when the cold one has had its share", far, with(func(c *place.Candidate) {
 			c.ColdFor, c.ColdRate, c.Senders, c.Recent = 3*time.Second, 12, 12, 1
 		}), small},
-		{"one whose node named a shorter wait", with(func(c *place.Candidate) { c.Estimated = 50 * time.Millisecond }),
-			with(func(c *place.Candidate) { c.Estimated = 300 * time.Millisecond }), small},
+		{
+			"one whose node named a shorter wait", with(func(c *place.Candidate) { c.Estimated = 50 * time.Millisecond }),
+			with(func(c *place.Candidate) { c.Estimated = 300 * time.Millisecond }), small,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for _, draw := range []float64{0, 0.99} {
--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -158,7 +158,13 @@
 				}
 				// The service gets 170 requests a second until the deadline, whenever the move ends.
 				if allowed := int(0.1*170*within.Seconds()) + 50; test.want == shift.Back && exposed > allowed {
-					t.Errorf("seed %d: %d of %d requests met the bad version, want %d at most", seed, exposed, total, allowed)
+					t.Errorf(
+						"seed %d: %d of %d requests met the bad version, want %d at most",
+						seed,
+						exposed,
+						total,
+						allowed,
+					)
 				}
 			}
 		})
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -161,7 +161,7 @@
 	p.started(now)
 	var res *doorResult
 	if e.Calls == o.Self {
-		res = o.Door.Run(ctx, d)
+		res = o.Door.admit(ctx, d)
 	} else {
 		res = c.send(ctx, e.Calls, d)
 	}
--- a/side/door.go
+++ b/side/door.go
@@ -55,7 +55,7 @@
 	}
 	c.body = func() ([]byte, error) { return readBody(r) }
 	d.World.seeKnown(c.known)
-	res := d.Run(r.Context(), c)
+	res := d.admit(r.Context(), c)
 	res.known = d.World.formatKnown()
 	h := w.Header()
 	status := res.status
@@ -76,9 +76,9 @@
 	}
 }
 
-// Run runs a request on the server, once it is its turn. When ctx ends, a waiting request is withdrawn; one that
+// admit runs a request on the server, once it is its turn. When ctx ends, a waiting request is withdrawn; one that
 // runs is broken off only if it may be repeated.
-func (d *Door) Run(ctx context.Context, c *doorCall) *doorResult {
+func (d *Door) admit(ctx context.Context, c *doorCall) *doorResult {
 	arrived := d.Clock.Now()
 	res := d.run(ctx, c, arrived)
 	l, work := d.Queue.Load()
--- a/side/feed.go
+++ b/side/feed.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := gob.NewEncoder(w).Encode(records); err != nil {
+	if err = gob.NewEncoder(w).Encode(records); err != nil {
 		return nil, err
 	}
 	err = w.Close()
@@ -235,7 +235,7 @@
 	defer cancel()
 	var reply FeedReply
 	args := FeedArgs{Topic: topic, From: from, Wait: relayWait}
-	if err := s.Peers.Call(ctx, addr, feedService, feedService+".Follow", args, &reply); err != nil {
+	if err = s.Peers.Call(ctx, addr, feedService, feedService+".Follow", args, &reply); err != nil {
 		return nil, from, false, err
 	}
 	records, err = unpack(reply.Packed)
--- a/side/feed_test.go
+++ b/side/feed_test.go
@@ -54,7 +54,14 @@
 	}{{-1, true, 2}, {3, true, 2}, {5, false, 1}, {6, false, 1}, {7, false, 0}, {99, true, 2}} {
 		records, reply, err := follow(test.from)
 		if err != nil || reply.Whole != test.whole || len(records) != test.records || reply.Next != 7 {
-			t.Errorf("from %d: %+v, %v, want whole %v and %d records", test.from, records, err, test.whole, test.records)
+			t.Errorf(
+				"from %d: %+v, %v, want whole %v and %d records",
+				test.from,
+				records,
+				err,
+				test.whole,
+				test.records,
+			)
 		}
 		for _, k := range records {
 			if k.Key == "b" && string(k.Value) != "2" {
@@ -76,8 +83,15 @@
 func TestPackSize(t *testing.T) {
 	var value []byte
 	for i := range 300 {
-		value = fmt.Appendf(value, `"r-%x":{"host":"h%x.example","path-prefix":"/p%x/","kind":"safe","timeout-ms":1200,`+
-			`"target-latency-ms":200,"priority":2,"service":"s%x","max-attempts":2},`, i*7919, i*31, i*104729, i%3)
+		value = fmt.Appendf(
+			value,
+			`"r-%x":{"host":"h%x.example","prefix":"/p%x/","kind":"safe","timeout-ms":1200,`+
+				`"aim-latency-ms":200,"priority":2,"service":"s%x","max-attempts":2},`,
+			i*7919,
+			i*31,
+			i*104729,
+			i%3,
+		)
 	}
 	records := []shunt.Keyed{{Key: "config", Value: value, Offset: 9}}
 	packed, err := pack(records)
--- a/side/follow.go
+++ b/side/follow.go
@@ -49,7 +49,6 @@
 	next     int64 // offset to read from, -1 before the topic was read as a whole
 	failed   bool
 	directAt time.Time // earliest time of the next read from the store by a node that has relays
-	logged   bool
 }
 
 func (f *follower) run(ctx context.Context) {
--- a/side/node.go
+++ b/side/node.go
@@ -34,6 +34,9 @@
 	stopMargin = time.Second
 	// peerDialTimeout bounds a connection to another node; their ways are a few milliseconds long.
 	peerDialTimeout = 400 * time.Millisecond
+	// trialShare is the part of the allowed exposure that a trial uses in ordinary times; the rest is for loading a
+	// server and for the time until a fault is seen after the switch.
+	trialShare = 1.0 / 3
 	// peerBackoffCap bounds the pause before the next attempt to connect to another node's feed.
 	peerBackoffCap = 2 * time.Second
 	// peerUserTimeout ends a connection to another node on which sent bytes stay unacknowledged.
@@ -90,7 +93,6 @@
 	gate struct {
 		next    http.Handler
 		running atomic.Int64
-		last    atomic.Int64 // when the last request came, nanoseconds since the epoch
 		closing atomic.Bool
 	}
 )
@@ -149,7 +151,8 @@
 func (n *Node) bounds() Bounds {
 	b := n.settings.Load().Bounds
 	return Bounds{
-		RetryWindow: b.RetryWindow, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack, ShiftShare: b.ShiftShare / 3,
+		RetryWindow: seconds(b.RetryWindow), RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
+		ShiftShare: trialShare * b.MoveShare,
 	}
 }
 
@@ -188,7 +191,7 @@
 	if err := n.rpc.Register(feedService, n.feed); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp4", addr)
+	l, err := (&net.ListenConfig{}).Listen(n.ctx, "tcp4", addr)
 	if err != nil {
 		return fmt.Errorf("listener for feed: %w", err)
 	}
@@ -201,7 +204,7 @@
 }
 
 func (n *Node) listen(name, addr string, srv *http.Server) error {
-	l, err := net.Listen("tcp4", addr)
+	l, err := (&net.ListenConfig{}).Listen(n.ctx, "tcp4", addr)
 	if err != nil {
 		return fmt.Errorf("listener for %s: %w", name, err)
 	}
@@ -279,7 +282,7 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	started := n.clock.Now()
-	grace := n.settings.Load().Bounds.Grace - stopMargin
+	grace := seconds(n.settings.Load().Bounds.Grace) - stopMargin
 	log.WithField("grace", grace).Info("node stops")
 	n.sync.Stop()
 	n.calls.closing.Store(true)
@@ -301,10 +304,23 @@
 	}
 	wg.Wait()
 	n.cancel()
+	n.rpc.Close()
 	log.WithField("took", n.clock.Since(started)).Info("node stopped")
 	return nil
 }
 
+// Kill ends the node at once, as the loss of its process does. It is for tests.
+func (n *Node) Kill() {
+	n.cancel()
+	for _, srv := range n.servers {
+		if err := srv.Close(); err != nil {
+			log.WithError(err).Warn("listener was not closed")
+		}
+	}
+	n.rpc.Close()
+	n.wg.Wait()
+}
+
 // ServeHTTP implements http.Handler.
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
@@ -323,3 +339,5 @@
 	e.GET("/state", func(c *gin.Context) { c.JSON(http.StatusOK, n.state()) })
 	return e
 }
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
--- a/side/outbound.go
+++ b/side/outbound.go
@@ -26,6 +26,8 @@
 	noDeadline = 30 * time.Second
 	// maxBody bounds a request's body whatever the configuration says, since it is held in memory.
 	maxBody = 64 << 20
+	// surplusBody is how much of a body that is too large is read before its caller is told.
+	surplusBody = 4 << 20
 	// bodyMemory bounds all bodies that are held at the same time.
 	bodyMemory = 96 << 20
 	// unready is the time after which a caller may try again at a node that knows no configuration yet.
@@ -115,7 +117,7 @@
 		limit = maxBody
 	}
 	if r.ContentLength > limit {
-		o.refuse(w, caller.ID, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
+		o.tooLarge(w, r, caller.ID)
 		return
 	}
 	release, ok := o.memory.take(max(r.ContentLength, 0))
@@ -174,7 +176,6 @@
 	case res.outcome == shunt.AttemptAnswered:
 		answer(w, res)
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
-		status = 0
 		panic(http.ErrAbortHandler)
 	case res.outcome == shunt.AttemptNotRun:
 		status = http.StatusServiceUnavailable
@@ -229,6 +230,16 @@
 	w.WriteHeader(status)
 }
 
+// tooLarge answers a request whose body exceeds the limit. Some of the body is read first, since a caller that is
+// still sending when the connection closes may not see the answer.
+func (o *Outbound) tooLarge(w http.ResponseWriter, r *http.Request, id string) {
+	w.Header()["Connection"] = []string{"close"}
+	if _, err := io.CopyN(io.Discard, r.Body, surplusBody); err != nil && !errors.Is(err, io.EOF) {
+		log.WithError(err).WithField("request", id).Debug("caller left while sending a body that is too large")
+	}
+	o.refuse(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
+}
+
 // unreadable answers a request whose body could not be read.
 func (o *Outbound) unreadable(w http.ResponseWriter, id string, err error) {
 	var large *http.MaxBytesError
--- a/side/server_test.go
+++ b/side/server_test.go
@@ -134,7 +134,11 @@
 			}
 			started := 0
 			for range 100 {
-				ask := sched.Ask{AimAt: c.Now().Add(time.Second), Deadline: c.Now().Add(time.Second), Work: time.Millisecond}
+				ask := sched.Ask{
+					AimAt:    c.Now().Add(time.Second),
+					Deadline: c.Now().Add(time.Second),
+					Work:     time.Millisecond,
+				}
 				if w, refused := q.Enter(ask); refused == nil {
 					select {
 					case <-w.Done():
--- a/side/sync.go
+++ b/side/sync.go
@@ -32,8 +32,9 @@
 	maxShun   = 8 * time.Second
 	// watchedDomains is the number of failure domains whose reading node watches the store.
 	watchedDomains = 2
-	// tellBackoff is the pause after a record could not be stored.
-	tellBackoff = 300 * time.Millisecond
+	// tellBackoff and maxTellBackoff bound the pause after a record could not be stored.
+	tellBackoff    = 250 * time.Millisecond
+	maxTellBackoff = time.Second
 )
 
 // Sync keeps a World in step with the store, and tells the other nodes of the server beside this one.
@@ -242,9 +243,20 @@
 	stopping := s.stopped
 	s.mu.Unlock()
 	return entry{
-		Calls: s.Self, Control: s.Control, Link: s.Link, Domain: s.Domain, Service: r.Service, Server: r.ID, Born: r.Born, Sequence: r.Sequence,
-		Version: r.Version, Slots: r.Slots, Leaving: r.Leaving, ColdMS: s.Server.Cold().Milliseconds(),
-		Started: s.Started, Stopping: stopping,
+		Calls:    s.Self,
+		Control:  s.Control,
+		Link:     s.Link,
+		Domain:   s.Domain,
+		Service:  r.Service,
+		Server:   r.ID,
+		Born:     r.Born,
+		Sequence: r.Sequence,
+		Version:  r.Version,
+		Slots:    r.Slots,
+		Leaving:  r.Leaving,
+		ColdMS:   s.Server.Cold().Milliseconds(),
+		Started:  s.Started,
+		Stopping: stopping,
 	}
 }
 
@@ -267,6 +279,7 @@
 }
 
 func (s *Sync) tell(ctx context.Context) {
+	backoff := tellBackoff
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		stored := s.stored
@@ -288,11 +301,14 @@
 			close(stored)
 		}
 		s.mu.Unlock()
-		log.WithError(err).Warn("entry was not stored")
+		if backoff == tellBackoff {
+			log.WithError(err).WithField("server", e.Server).Warn("entry was not stored, trying on")
+		}
 		select {
-		case <-s.Clock.After(time.Duration((0.5 + rand.Float64()) * float64(tellBackoff))):
+		case <-s.Clock.After(time.Duration((0.5 + rand.Float64()) * float64(backoff))):
 		case <-ctx.Done():
 		}
+		backoff = min(2*backoff, maxTellBackoff)
 	}
 }
 
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -14,7 +14,7 @@
 )
 
 // testSync returns a Sync of a node that serves no feed.
-func testSync(t *testing.T, store *fakeStore, self, domain string) *Sync {
+func testSync(t *testing.T, store *fakeStore, self string) *Sync {
 	t.Helper()
 	c := clockwork.NewRealClock()
 	w := NewWorld(c)
@@ -24,7 +24,7 @@
 	t.Cleanup(pool.Close)
 	s := &Sync{
 		Clock: c, Store: store, Operator: fakeOperator{}, World: w, Server: server, Peers: pool, Self: self,
-		Domain: domain, Started: 1, feed: newFeed(c, w),
+		Domain: "a", Started: 1, feed: newFeed(c, w),
 	}
 	server.told = s.Tell
 	return s
@@ -54,9 +54,9 @@
 	}
 }
 
-func put(t *testing.T, store *fakeStore, topic string, records ...shunt.Keyed) {
+func put(t *testing.T, store *fakeStore, records ...shunt.Keyed) {
 	t.Helper()
-	if _, err := store.Append(t.Context(), topic, -1, records...); err != nil {
+	if _, err := store.Append(t.Context(), "orders", -1, records...); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -75,12 +75,12 @@
 // lost history, an older record and one that can't be read.
 func TestFollow(t *testing.T) {
 	store := newFakeStore()
-	put(t, store, "orders", config(3))
-	s := testSync(t, store, "10.0.0.1:1", "a")
+	put(t, store, config(3))
+	s := testSync(t, store, "10.0.0.1:1")
 	start(t, s)
 	within(t, time.Second, "first configuration", func() bool { return inForce(s) == 3 && s.Ready() })
 
-	put(t, store, "orders", config(5), config(4), shunt.Keyed{Key: "config", Value: []byte("{")})
+	put(t, store, config(5), config(4), shunt.Keyed{Key: "config", Value: []byte("{")})
 	within(t, time.Second, "newer configuration", func() bool { return inForce(s) == 5 })
 
 	store.set(func(f *fakeStore) { f.down = true })
@@ -92,9 +92,9 @@
 	})
 	within(t, 2*time.Second, "configuration after an outage", func() bool { return inForce(s) == 7 })
 
-	put(t, store, "orders", order(shunt.Order{Kind: shunt.OrderEvacuate, Domain: "b"}))
+	put(t, store, order(shunt.Order{Kind: shunt.OrderEvacuate, Domain: "b"}))
 	within(t, time.Second, "failure domain out", func() bool { return s.World.Out("b") })
-	put(t, store, "orders", shunt.Keyed{Key: "b"})
+	put(t, store, shunt.Keyed{Key: "b"})
 	within(t, time.Second, "failure domain back", func() bool { return !s.World.Out("b") })
 	if got := inForce(s); got != 7 {
 		t.Errorf("configuration %d in force, want 7", got)
@@ -105,8 +105,8 @@
 // something, and reads anew.
 func TestBehind(t *testing.T) {
 	store := newFakeStore()
-	put(t, store, "orders", config(1))
-	s := testSync(t, store, "10.0.0.1:1", "a")
+	put(t, store, config(1))
+	s := testSync(t, store, "10.0.0.1:1")
 	start(t, s)
 	within(t, time.Second, "first configuration", func() bool { return inForce(s) == 1 })
 	time.Sleep(2 * coalesce)
@@ -123,8 +123,8 @@
 // that the entry is stored after it.
 func TestTell(t *testing.T) {
 	store := newFakeStore()
-	put(t, store, "orders", config(1))
-	s := testSync(t, store, "10.0.0.1:1", "a")
+	put(t, store, config(1))
+	s := testSync(t, store, "10.0.0.1:1")
 	start(t, s)
 	within(t, time.Second, "start", s.Ready)
 	if err := s.Server.Heard(report("a", 1, 1)); err != nil {
@@ -167,11 +167,11 @@
 // takes its place when it ends.
 func TestRelay(t *testing.T) {
 	store := newFakeStore()
-	put(t, store, "orders", config(1))
+	put(t, store, config(1))
 	var nodes []*Sync
 	var stops []func()
 	for i := range 4 {
-		s := testSync(t, store, fmt.Sprintf("127.0.0.1:%d", i+1), "a")
+		s := testSync(t, store, fmt.Sprintf("127.0.0.1:%d", i+1))
 		stop := serveFeed(t, s)
 		stops = append(stops, stop)
 		nodes = append(nodes, s)
@@ -215,7 +215,7 @@
 	store.mu.Lock()
 	before := store.reads
 	store.mu.Unlock()
-	put(t, store, "orders", config(2))
+	put(t, store, config(2))
 	within(t, time.Second, "change through the feeds", func() bool { return all(nodes, 2) })
 	time.Sleep(100 * time.Millisecond)
 	store.mu.Lock()
@@ -227,7 +227,7 @@
 	}
 
 	stopAt(0)
-	put(t, store, "orders", config(3))
+	put(t, store, config(3))
 	within(t, 3*time.Second, "change after the first node ended", func() bool { return all(nodes[1:], 3) })
 }
 
