Place requests by expected loss instead of time

Change: the cost of a server is the value that a late answer is expected to lose, its failures, and 0.09 a kilobyte.

--- a/place/choose.go
+++ b/place/choose.go
@@ -15,15 +15,19 @@
 	unknownWork = 0.6
 	// leastSuccess bounds the weight of a server that fails.
 	leastSuccess = 0.1
-	// farPerKilobyte is what a kilobyte sent to another failure domain costs, as time that a caller would wait
-	// instead. Traffic between failure domains is the dearest resource of the users.
-	farPerKilobyte = 30 * time.Millisecond
-	// farBase is the cost of the longer way itself.
-	farBase = 3 * time.Millisecond
+	// farPerKilobyte is what a kilobyte sent to another failure domain costs, as a part of the value of a request
+	// that is answered in time. Traffic between failure domains is the dearest resource of the users.
+	farPerKilobyte = 0.09
+	// farTime is the time of the longer way.
+	farTime = 3 * time.Millisecond
 	// leastPatience is the shortest wait for which a sender prefers no other server.
 	leastPatience = 8 * time.Millisecond
 	// nearlyFull is the expected wait at a server that is all but full, as a part of a request's time.
 	nearlyFull = 0.1
+	// leastAim bounds the aim of requests that are already late.
+	leastAim = 20 * time.Millisecond
+	// longestWait bounds the search for the wait that a sender accepts.
+	longestWait = 4 * time.Second
 	// overhead is the size of the headers of a request and its answer between nodes.
 	overhead = 900
 	kilobyte = 1024
@@ -51,13 +55,14 @@
 	// Request is what matters of a request.
 	Request struct {
 		Work  time.Duration // expected, at a server of mean speed
+		Aim   time.Duration // time left until an answer loses value
 		Bytes int           // of the request and its expected answer
 	}
 
 	// Choice is the best server.
 	Choice struct {
 		Index    int
-		Cost     time.Duration
+		Cost     float64       // expected loss, as a part of the value of a request that is answered in time
 		Patience time.Duration // wait there beyond which another server is expected to be better, 0 for none
 	}
 )
@@ -69,7 +74,7 @@
 		return Choice{}, false
 	}
 	best, second := -1, -1
-	costs := make([]time.Duration, len(list))
+	costs := make([]float64, len(list))
 	start := int(draw * float64(len(list)))
 	for n := range list {
 		i := (start + n) % len(list)
@@ -83,22 +88,63 @@
 	}
 	c := Choice{Index: best, Cost: costs[best]}
 	if second >= 0 {
-		wait := waitAt(&list[best], r)
-		c.Patience = max(costs[second]-costs[best]+wait, leastPatience)
+		c.Patience = max(waitFor(&list[best], r, costs[second]), leastPatience)
 	}
 	return c, true
 }
 
-// Cost is the expected time until an answer, with traffic between failure domains counted as time.
-func Cost(c *Candidate, r Request) time.Duration {
-	cost := waitAt(c, r) + workAt(c, r)
-	cost = time.Duration(float64(cost) / max(c.Success, leastSuccess))
+// Cost is the expected loss when a server gets the request: of value through a late answer or a failure, and of
+// traffic between failure domains.
+func Cost(c *Candidate, r Request) float64 {
+	return weigh(c, r, waitAt(c, r))
+}
+
+func weigh(c *Candidate, r Request, wait time.Duration) float64 {
+	took := wait + workAt(c, r)
+	if !c.Near {
+		took += farTime
+	}
+	success := max(c.Success, leastSuccess)
+	cost := success*late(took, r.Aim) + 1 - success
 	if !c.Near {
-		cost += farBase + time.Duration(float64(farPerKilobyte)*float64(r.Bytes+overhead)/kilobyte)
+		cost += farPerKilobyte * float64(r.Bytes+overhead) / kilobyte
 	}
 	return cost
 }
 
+// late is the expected loss of value of an answer that is expected after some time. The times of requests spread
+// widely: one that is expected at half of its aim may be late, and one that is expected at the aim is so as often as
+// not. Beyond that the loss grows on, since the answer may not come before the deadline.
+func late(took, aim time.Duration) float64 {
+	const (
+		early, earlyLoss = 0.4, 0.04
+		sure, sureLoss   = 1.4, 0.94
+		beyond           = 0.3
+	)
+	x := float64(took) / float64(max(aim, leastAim))
+	switch {
+	case x <= early:
+		return earlyLoss * x / early
+	case x <= sure:
+		return earlyLoss + (sureLoss-earlyLoss)*(x-early)/(sure-early)
+	default:
+		return sureLoss + beyond*(x-sure)
+	}
+}
+
+// waitFor returns the wait at a server at which its cost reaches a bound.
+func waitFor(c *Candidate, r Request, bound float64) time.Duration {
+	low, high := time.Duration(0), longestWait
+	for high-low > time.Millisecond {
+		if mid := (low + high) / 2; weigh(c, r, mid) < bound {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
+
 func workAt(c *Candidate, r Request) time.Duration {
 	if c.Work > 0 {
 		return c.Work
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -134,7 +134,11 @@
 		list = append(list, candidate)
 	}
 	choice, ok := place.Choose(list, place.Request{
-		Work: o.works.expected(c.route.Name), Bytes: len(c.body) + o.works.answerBytes(c.route.Name),
+		Work: o.works.expected(
+			c.route.Name,
+		),
+		Aim:   c.aimAt.Sub(now),
+		Bytes: len(c.body) + o.works.answerBytes(c.route.Name),
 	}, rand.Float64())
 	if !ok {
 		return nil, choice, false
