Ask a server that broke a connection who it is instead of slowing it down

Ruled out: load, which was below the limit. Change: after a reset the server's health answer, asked at most every 0.3 s, clears the doubt.

--- a/side/node.go
+++ b/side/node.go
@@ -49,6 +49,8 @@
 	syncPoll = 20 * time.Millisecond
 )
 
+var errNoHealthPath = errors.New("configuration names no path for the server's health")
+
 type (
 	// Adapter is what a node needs of the platform.
 	Adapter struct {
@@ -138,7 +140,7 @@
 		Local: local, Service: func() string { return n.settings.Load().Service }, Bounds: n.bounds, Meter: n.meter,
 		Pool: conns.New(conns.Options{DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout}),
 	}
-	n.server.told = n.sync.Tell
+	n.server.told, n.server.ask = n.sync.Tell, n.confirm
 	n.calls = &gate{next: n.outbound}
 	return n
 }
@@ -232,27 +234,46 @@
 	if !ok || r.Leaving || r.Service != s.Service {
 		return
 	}
+	answer, err := n.whois(ctx)
+	if err != nil || answer.Server != r.ID {
+		log.WithFields(log.Fields{"server": r.ID, "found": answer.Server, "error": err}).
+			Info("server was not taken over")
+		return
+	}
+	r.Address, r.Cold = s.Server, answer.Cold
+	n.server.Restore(r)
+}
+
+// confirm asks the server who it is, after it broke a connection.
+func (n *Node) confirm() {
+	answer, err := n.whois(n.ctx)
+	if err != nil {
+		log.WithError(err).Info("server did not say who it is")
+		return
+	}
+	n.server.Confirmed(answer.Server, answer.Cold)
+}
+
+// whois asks the server beside the node who it is, and fails unless it is well.
+func (n *Node) whois(ctx context.Context) (shunt.ServerAnswer, error) {
+	s := n.settings.Load()
 	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
 	path := n.world.spec(s.Service).HealthPath
 	if path == "" {
-		return
+		return shunt.ServerAnswer{}, errNoHealthPath
 	}
 	resp, err := n.door.Pool.Do(ctx, s.Server, &conns.Request{
 		Method: http.MethodGet, URI: path, Host: s.Server, Header: http.Header{}, Limit: answerBytes,
 	})
 	if err != nil {
-		log.WithError(err).Info("server was not taken over")
-		return
+		return shunt.ServerAnswer{}, err
 	}
 	answer := n.adapter.Dialect.FromServer(resp.Status, resp.Header)
-	if resp.Status != http.StatusOK || answer.Server != r.ID {
-		log.WithFields(log.Fields{"server": r.ID, "found": answer.Server, "status": resp.Status}).
-			Info("server was not taken over")
-		return
+	if resp.Status != http.StatusOK {
+		return answer, fmt.Errorf("server is not well: status %d", resp.Status)
 	}
-	r.Address, r.Cold = s.Server, answer.Cold
-	n.server.Restore(r)
+	return answer, nil
 }
 
 // Heard takes a report of the server beside the node.
--- a/side/server.go
+++ b/side/server.go
@@ -17,6 +17,10 @@
 	leaveNotice = 500 * time.Millisecond
 	// unreachablePause is the time for which nothing is sent to a server that refused a connection.
 	unreachablePause = 300 * time.Millisecond
+	// doubtFor is the longest time for which a server is doubted: a report comes more often.
+	doubtFor = 2 * time.Second
+	// confirmEvery is the least time between two questions to a server that is doubted.
+	confirmEvery = 300 * time.Millisecond
 	// doubtPace bounds the requests a second to a server that may have restarted, until its next report.
 	doubtPace = 10
 	// paceMargin is the part of a cold server's rate that is used: others count arrivals, not sends.
@@ -30,6 +34,7 @@
 		queue *sched.Queue
 		spec  func() shunt.ServiceSpec
 		told  func(urgent bool) // the record changed
+		ask   func()            // asks the server who it is, and calls Confirmed
 
 		mu       sync.Mutex
 		service  string
@@ -37,6 +42,7 @@
 		report   shunt.ServerReport
 		coldTill time.Time
 		doubt    time.Time // until when the server may be another than reported
+		asked    time.Time
 		leftAt   time.Time
 		ended    map[string]int64 // servers that have left, by identifier: when they were born
 	}
@@ -49,7 +55,7 @@
 	q.Close()
 	return &Server{
 		clock: c, queue: q, spec: spec, service: service, address: address,
-		told: func(bool) {}, ended: make(map[string]int64),
+		told: func(bool) {}, ask: func() {}, ended: make(map[string]int64),
 	}
 }
 
@@ -177,11 +183,32 @@
 	s.told(false)
 }
 
-// Doubt is called when the server broke a connection, which may mean that it has restarted: until it reports
-// again it gets no more than a cold server.
+// Doubt is called when the server broke a connection, which may mean that it has restarted: until it has said who it
+// is, or reports again, it gets no more than a cold server.
 func (s *Server) Doubt() {
 	s.mu.Lock()
-	s.doubt = s.clock.Now().Add(2 * time.Second)
+	now := s.clock.Now()
+	s.doubt = now.Add(doubtFor)
+	ask := now.Sub(s.asked) >= confirmEvery
+	if ask {
+		s.asked = now
+	}
+	s.mu.Unlock()
+	s.apply()
+	if ask {
+		go s.ask()
+	}
+}
+
+// Confirmed is called when the server has said who it is, and for how long it remains cold.
+func (s *Server) Confirmed(id string, cold time.Duration) {
+	s.mu.Lock()
+	if id == "" || id != s.report.ID {
+		s.mu.Unlock()
+		return
+	}
+	s.doubt = time.Time{}
+	s.coldTill = s.clock.Now().Add(cold)
 	s.mu.Unlock()
 	s.apply()
 }
@@ -189,7 +216,7 @@
 // Unreachable is called when the server refused a connection. Nothing was sent.
 func (s *Server) Unreachable() {
 	s.mu.Lock()
-	s.doubt = s.clock.Now().Add(2 * time.Second)
+	s.doubt = s.clock.Now().Add(doubtFor)
 	s.mu.Unlock()
 	s.queue.Close()
 	s.clock.AfterFunc(unreachablePause, s.apply)
--- a/side/server_test.go
+++ b/side/server_test.go
@@ -109,6 +109,53 @@
 	}
 }
 
+// TestConfirmed guards that a server which broke a connection is asked who it is, not for each connection, and serves
+// at full rate once it has said that it is the same.
+func TestConfirmed(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	s, q := testServer(c)
+	asked := make(chan struct{}, 10)
+	s.ask = func() { asked <- struct{}{} }
+	if err := s.Heard(report("a", 1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		s.Doubt()
+	}
+	<-asked
+	if len(asked) != 0 {
+		t.Errorf("asked %d times more", len(asked))
+	}
+	for _, test := range []struct {
+		id   string
+		runs int
+	}{{"b", 1}, {"a", 4}} {
+		s.Confirmed(test.id, 0)
+		var waiters []*sched.Waiter
+		for range 4 {
+			w, refused := q.Enter(sched.Ask{
+				AimAt: c.Now().Add(time.Second), Deadline: c.Now().Add(time.Second), Work: time.Millisecond,
+			})
+			if refused != nil {
+				t.Fatal(refused)
+			}
+			waiters = append(waiters, w)
+		}
+		runs := 0
+		for _, w := range waiters {
+			if q.Withdraw(w) {
+				continue
+			}
+			runs++
+			q.Leave(time.Millisecond)
+		}
+		if runs != test.runs {
+			t.Errorf("after %q confirmed, %d of 4 run, want %d", test.id, runs, test.runs)
+		}
+		c.Advance(time.Second)
+	}
+}
+
 // TestCold guards that a cold server, and one that may have restarted unnoticed, get no more than its cold rate.
 func TestCold(t *testing.T) {
 	for _, test := range []struct {
