Let a request wait at one node only, and let a stopping node serve others longer

Ruled out: a lost connection; every refusal came from a queue that had 6 of 6 slots busy. Change: after waiting in vain a request accepts 50 ms elsewhere; other nodes are told of a stop 0.7 s before the listeners close. Conclusion: kept for the callers' sake.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -21,6 +21,9 @@
 	expectBody = 4 << 10
 	// trialPatience is the wait at a server of a new version up to which it is tried.
 	trialPatience = 20 * time.Millisecond
+	// heldPatience is the wait that is accepted after a request has waited at one node and was refused: its caller
+	// should learn that soon.
+	heldPatience = 50 * time.Millisecond
 	// shutPause is the time for which a server is left alone whose node takes no requests for it.
 	shutPause = 100 * time.Millisecond
 )
@@ -33,6 +36,7 @@
 	version, trial, focus := o.World.version(c.service, rand.Float64(), o.Bounds().ShiftShare)
 	refused := make(map[string]time.Duration) // waits that nodes named
 	gone := make(map[string]bool)             // nodes not to be asked again
+	held := false                             // the request has waited in vain already
 	last := notRun("no server of " + c.service + " is known")
 	for c.doors < maxDoors && ctx.Err() == nil {
 		p, choice, ok := c.choose(version, focus, refused, gone)
@@ -47,11 +51,16 @@
 		addr := p.get().Calls
 		_, again := refused[addr]
 		switch {
+		case held && again:
+			return c.worst(last)
+		case held:
+			choice.Patience = heldPatience
 		case again:
 			choice.Patience = 0
 		case trial:
 			choice.Patience = trialPatience
 		}
+		asked := o.Clock.Now()
 		res := c.try(ctx, p, choice.Patience)
 		switch {
 		case res.outcome == shunt.AttemptAnswered && !c.again(res, budget.Again):
@@ -65,6 +74,7 @@
 			gone[addr] = true
 		}
 		refused[addr] = max(res.wait, time.Millisecond)
+		held = held || o.Clock.Since(asked) > heldPatience
 		last = pick(last, res)
 	}
 	if ctx.Err() != nil && last.outcome == shunt.AttemptNotRun && c.attempts == 0 {
--- a/side/node.go
+++ b/side/node.go
@@ -30,6 +30,9 @@
 	// stopNotice is the time for which a stopping node still takes callers' requests. They are told twice, a
 	// second apart, that it is not ready.
 	stopNotice = 2800 * time.Millisecond
+	// stopLead is the time before the end of stopNotice at which other nodes are told, so that the server beside the
+	// node serves them as long as possible.
+	stopLead = 700 * time.Millisecond
 	// stopMargin is kept from the grace time for the process to end.
 	stopMargin = time.Second
 	// peerDialTimeout bounds a connection to another node; their ways are a few milliseconds long.
@@ -305,11 +308,10 @@
 	started := n.clock.Now()
 	grace := seconds(n.settings.Load().Bounds.Grace) - stopMargin
 	log.WithField("grace", grace).Info("node stops")
-	n.sync.Stop()
 	n.calls.closing.Store(true)
-	for n.clock.Since(started) < stopNotice && ctx.Err() == nil {
-		n.clock.Sleep(syncPoll)
-	}
+	n.pause(ctx, started.Add(stopNotice-stopLead))
+	n.sync.Stop()
+	n.pause(ctx, started.Add(stopNotice))
 	ctx, cancel := context.WithTimeout(ctx, grace-n.clock.Since(started))
 	defer cancel()
 	var wg sync.WaitGroup
@@ -330,6 +332,14 @@
 	return nil
 }
 
+// pause waits until a time or until ctx ends.
+func (n *Node) pause(ctx context.Context, until time.Time) {
+	select {
+	case <-n.clock.After(until.Sub(n.clock.Now())):
+	case <-ctx.Done():
+	}
+}
+
 // Kill ends the node at once, as the loss of its process does. It is for tests.
 func (n *Node) Kill() {
 	n.cancel()
