Refuse waiting requests in time beside a server that hangs

Cause: the queue looked at waiting requests only when one came or ended; beside a server whose requests all hang nothing ended, and a request waited to its deadline (found while writing platform.TestHeldOnce; sched.TestHungServer fails without the change). Ruled out: the connection, whose request had not been sent. Change: the queue wakes for the next request that must be refused.

--- /dev/null
+++ b/logkv/async_test.go
@@ -0,0 +1,60 @@
+package logkv_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tanagershunt.example/shunt/logkv"
+)
+
+// blocked is a writer that takes nothing until it is released, as a full pipe does.
+type blocked struct {
+	release chan struct{}
+
+	mu  sync.Mutex
+	got bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+// TestAsync guards that a writer that takes nothing delays no line, that memory stays bounded, and that what was
+// dropped is counted once there is room.
+func TestAsync(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	a := logkv.NewAsync(out)
+	line := []byte(strings.Repeat("x", 99) + "\n")
+	const lines = 20_000
+	began := time.Now()
+	for range lines {
+		if n, err := a.Write(line); n != len(line) || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("%d lines took %s while the writer was blocked", lines, took)
+	}
+	close(out.release)
+	time.Sleep(300 * time.Millisecond)
+	if _, err := a.Write([]byte("last\n")); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	text := out.got.String()
+	written := strings.Count(text, string(line))
+	if written == 0 || written > lines/2 {
+		t.Errorf("%d of %d lines were kept while the writer was blocked", written, lines)
+	}
+	if !strings.Contains(text, "log lines dropped") || !strings.HasSuffix(text, "last\n") {
+		t.Errorf("log ends %q", text[max(0, len(text)-200):])
+	}
+}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -68,6 +68,7 @@
 		waiting []*Waiter
 		pace    Pace
 		wake    clockwork.Timer
+		wakes   time.Time
 		work    time.Duration // mean time of recent requests
 		missed  float64       // moving share of late requests that found no slot in time
 	}
@@ -243,9 +244,10 @@
 // dispatch starts requests while there are slots, best first, and refuses those that became hopeless.
 func (q *Queue) dispatch(now time.Time) {
 	q.expire(now)
+	defer q.wakeForNext(now)
 	for q.running < q.limit && len(q.waiting) > 0 {
 		if wait := q.pace.Wait(now, 0); wait > 0 {
-			q.wakeAfter(wait)
+			q.wakeAt(now, now.Add(wait))
 			return
 		}
 		w := q.best(now)
@@ -259,11 +261,37 @@
 	}
 }
 
-func (q *Queue) wakeAfter(d time.Duration) {
+// wakeForNext makes sure that the next waiting request is refused in time although nothing else happens, for
+// instance because the server hangs.
+func (q *Queue) wakeForNext(now time.Time) {
+	var next time.Time
+	for _, w := range q.waiting {
+		at := w.Deadline.Add(-share(w.Work))
+		if !w.Nested && w.giveUp.Before(at) {
+			at = w.giveUp
+			if late := w.AimAt.Add(-w.Work); late.After(at) {
+				at = late
+			}
+		}
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if !next.IsZero() {
+		q.wakeAt(now, next.Add(time.Millisecond))
+	}
+}
+
+// wakeAt dispatches again at a time, or earlier when that was asked for before.
+func (q *Queue) wakeAt(now, at time.Time) {
+	if q.wakes.After(now) && !at.Before(q.wakes) {
+		return
+	}
 	if q.wake != nil {
 		q.wake.Stop()
 	}
-	q.wake = q.clock().AfterFunc(d, func() {
+	q.wakes = at
+	q.wake = q.clock().AfterFunc(at.Sub(now), func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		q.dispatch(q.clock().Now())
--- a/sched/queue_test.go
+++ b/sched/queue_test.go
@@ -111,6 +111,29 @@
 	}
 }
 
+// TestHungServer guards that a waiting request is refused while its caller has time left although no request at the
+// server ends.
+func TestHungServer(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	q := queue(c, 1)
+	if _, r := q.Enter(ask(c, aim, last)); r != nil {
+		t.Fatal(r)
+	}
+	w, r := q.Enter(ask(c, aim, last))
+	if r != nil {
+		t.Fatal(r)
+	}
+	c.Advance(last*3/4 - time.Millisecond)
+	select {
+	case <-w.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("request still waits after three quarters of its time")
+	}
+	if w.Refusal() == nil {
+		t.Error("request runs at a server without a free slot")
+	}
+}
+
 // TestWithdraw guards that a withdrawn request never runs and frees its place.
 func TestWithdraw(t *testing.T) {
 	c := clockwork.NewFakeClock()
