Tell calls of servers from callers' requests by where they enter

Cause: callers and servers use the same address of an instance, so the check of the sender's address called every request a server's call; the bounds on waiting, which spare such calls, never applied (seen in the fields of request ended: nested=true for all). Ruled out: identifiers and priorities of routes, which do not tell them apart in anything documented. Change: the door learns beside which services a route's requests enter; a route that some services never use is one that servers call.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -166,7 +166,7 @@
 		body: func() ([]byte, error) { return c.body, nil }, server: e.Server, caller: o.Service(),
 		left: c.deadline.Sub(now),
 		terms: terms{
-			repeatable: c.route.Repeatable, nested: c.nested, urgency: c.route.Priority, aim: c.aimAt.Sub(now),
+			repeatable: c.route.Repeatable, urgency: c.route.Priority, aim: c.aimAt.Sub(now),
 			patience: patience,
 		},
 		known: o.World.formatKnown(),
--- a/side/call.go
+++ b/side/call.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	termFields = 5
+	termFields = 4
 	loadFields = 5
 )
 
@@ -50,7 +50,6 @@
 	// terms say how a request may wait and what follows when it fails.
 	terms struct {
 		repeatable bool
-		nested     bool
 		urgency    int
 		aim        time.Duration // time left until the answer loses value
 		patience   time.Duration // 0 for any
@@ -77,12 +76,9 @@
 	if t.repeatable {
 		flags += "r"
 	}
-	if t.nested {
-		flags += "n"
-	}
 	return strings.Join([]string{
 		flags, strconv.Itoa(t.urgency), strconv.FormatInt(t.aim.Milliseconds(), 10),
-		strconv.FormatInt(t.patience.Milliseconds(), 10), "",
+		strconv.FormatInt(t.patience.Milliseconds(), 10),
 	}, "/")
 }
 
@@ -104,7 +100,7 @@
 		return terms{}, errTerms
 	}
 	return terms{
-		repeatable: strings.Contains(parts[0], "r"), nested: strings.Contains(parts[0], "n"), urgency: urgency,
+		repeatable: parts[0] == "r", urgency: urgency,
 		aim: time.Duration(aim) * time.Millisecond, patience: time.Duration(patience) * time.Millisecond,
 	}, nil
 }
--- a/side/door.go
+++ b/side/door.go
@@ -42,7 +42,8 @@
 		Domain  string
 		Answers func(route string, failed bool, latency time.Duration) // answers of the server, while a move runs
 
-		works workTable
+		works   workTable
+		callers callerTable
 	}
 )
 
@@ -109,7 +110,8 @@
 	}
 	work := d.works.expected(c.route)
 	waiter, refusal := d.Queue.Enter(sched.Ask{
-		Nested: c.terms.nested, Urgency: c.terms.urgency, AimAt: arrived.Add(c.terms.aim),
+		Nested:  d.callers.nested(c.route, c.caller, d.World.services()),
+		Urgency: c.terms.urgency, AimAt: arrived.Add(c.terms.aim),
 		Deadline: arrived.Add(c.left), Work: work, Patience: c.terms.patience,
 	})
 	if refusal != nil {
--- a/side/node.go
+++ b/side/node.go
@@ -134,13 +134,9 @@
 			DialTimeout: serverDialTimeout, Opened: func() { n.meter.count("side_server_connections_total") },
 		}),
 	}
-	local, _, err := net.SplitHostPort(s.Listeners.Callers)
-	if err != nil {
-		local = ""
-	}
 	n.outbound = &Outbound{
 		Clock: c, Dialect: a.Dialect, World: n.world, Door: n.door, Self: s.Listeners.Calls, Domain: s.Domain,
-		Local: local, Service: func() string { return n.settings.Load().Service }, Bounds: n.bounds, Meter: n.meter,
+		Service: func() string { return n.settings.Load().Service }, Bounds: n.bounds, Meter: n.meter,
 		Pool: conns.New(conns.Options{DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout}),
 	}
 	n.server.told, n.server.ask = n.sync.Tell, n.confirm
--- a/side/outbound.go
+++ b/side/outbound.go
@@ -45,7 +45,6 @@
 		Door    *Door
 		Self    string // address of this node for calls
 		Domain  string
-		Local   string // host part of the address from which the server beside the node makes its calls
 		Service func() string
 		Pool    *conns.Pool // connections to other nodes
 		Bounds  func() Bounds
@@ -76,7 +75,6 @@
 		route    *route.Entry
 		version  uint64 // of the configuration
 		service  string
-		nested   bool
 		arrived  time.Time
 		deadline time.Time
 		aimAt    time.Time
@@ -135,20 +133,13 @@
 	c := &call{
 		out: o, id: caller.ID, method: r.Method, uri: r.RequestURI, host: r.Host, body: body, route: entry,
 		header: proxy.Forwardable(r.Header), version: table.Config().Version, service: entry.Service(),
-		nested: o.nested(r.RemoteAddr), arrived: arrived,
+		arrived: arrived,
 	}
 	delete(c.header, "Expect")
 	c.limits(caller.Deadline)
 	c.serve(r.Context(), w)
 }
 
-// nested reports whether a request comes from the server beside the node, which makes it for a request that it
-// is running.
-func (o *Outbound) nested(remote string) bool {
-	host, _, err := net.SplitHostPort(remote)
-	return err == nil && host == o.Local
-}
-
 func (c *call) limits(deadline time.Duration) {
 	limit := c.route.Timeout
 	if limit <= 0 {
@@ -191,7 +182,7 @@
 	log.WithFields(log.Fields{
 		"request": c.id, "route": c.route.Name, "service": c.service, "config": c.version, "status": status,
 		"outcome": res.outcome, "reason": res.reason, "attempts": c.attempts, "nodes": c.doors, "took": took,
-		"left": c.deadline.Sub(o.Clock.Now()), "nested": c.nested, "bytes": len(c.body),
+		"left": c.deadline.Sub(o.Clock.Now()), "bytes": len(c.body),
 	}).Info("request ended")
 }
 
--- a/side/world.go
+++ b/side/world.go
@@ -329,6 +329,19 @@
 	return list
 }
 
+// services returns the services of all nodes that do not stop.
+func (w *World) services() []string {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	var list []string
+	for _, p := range w.peers {
+		if e := p.get(); !e.Stopping && e.Service != "" && !slices.Contains(list, e.Service) {
+			list = append(list, e.Service)
+		}
+	}
+	return list
+}
+
 func raise(to *atomic.Int64, v int64) {
 	for old := to.Load(); v > old; old = to.Load() {
 		if to.CompareAndSwap(old, v) {
