Expect longer waits at a server whose running requests are all old

Cause: the expected wait came from requests that had ended; beside a server that hangs none end, and 93 requests queued there while another server was free (platform.TestHeldOnce, 502 after 2.0 s instead of 503). Ruled out: a lost report: there was no answer that could carry one. Change: when all slots are taken and their mean age is four times the usual time, that age is expected; a sender does the same with four unanswered requests or more.

--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -99,7 +99,7 @@
 			default:
 				out.refused++
 			}
-			q.Leave(j.work)
+			q.Leave(j.w, j.work)
 		}
 		waiting = slices.DeleteFunc(waiting, func(j *job) bool {
 			switch settled(j.w) {
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -32,6 +32,9 @@
 	starved = 0.4
 	// lateWeight is the weight of one request in that moving share.
 	lateWeight = 0.08
+	// slowFactor is how many times as old as the time of a request those that run must be on average to show that
+	// the server has become slow. In a steady state the two are alike; a single long request makes up for three.
+	slowFactor = 4
 	// maxWaiting bounds the queue whatever the expected work is.
 	maxWaiting = 512
 )
@@ -63,7 +66,7 @@
 
 		mu      sync.Mutex
 		limit   int
-		running int
+		running map[*Waiter]time.Time // since when
 		closed  bool
 		waiting []*Waiter
 		pace    Pace
@@ -134,7 +137,7 @@
 	if q.closed {
 		limit = 0
 	}
-	return shunt.Load{InFlight: q.running, Limit: limit, Queued: len(q.waiting)}, q.work
+	return shunt.Load{InFlight: len(q.running), Limit: limit, Queued: len(q.waiting)}, q.recent(q.clock().Now())
 }
 
 // Enter asks for a slot. It returns a Waiter whose Done channel is closed once the request may run or is
@@ -166,11 +169,11 @@
 }
 
 // Leave ends a request that ran, and starts the next. A time of zero says nothing about the server.
-func (q *Queue) Leave(took time.Duration) {
+func (q *Queue) Leave(w *Waiter, took time.Duration) {
 	const weight = 0.05
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.running--
+	delete(q.running, w)
 	switch {
 	case took <= 0:
 	case q.work == 0:
@@ -230,10 +233,10 @@
 		}
 	}
 	paced := q.pace.Wait(now, ahead)
-	if q.running+ahead < q.limit {
+	if len(q.running)+ahead < q.limit {
 		return paced
 	}
-	work := q.work
+	work := q.recent(now)
 	if work == 0 {
 		work = ask.Work
 	}
@@ -241,11 +244,28 @@
 	return max(paced, (total+work)/time.Duration(q.limit))
 }
 
+// recent returns the mean time of a request: of those that have ended lately, or of those that run if that is much
+// longer while they take all slots, since at a server that has become slow or hangs few end.
+func (q *Queue) recent(now time.Time) time.Duration {
+	if len(q.running) == 0 || len(q.running) < q.limit {
+		return q.work
+	}
+	var age time.Duration
+	for _, since := range q.running {
+		age += now.Sub(since)
+	}
+	age /= time.Duration(len(q.running))
+	if age > slowFactor*q.work {
+		return age
+	}
+	return q.work
+}
+
 // dispatch starts requests while there are slots, best first, and refuses those that became hopeless.
 func (q *Queue) dispatch(now time.Time) {
 	q.expire(now)
 	defer q.wakeForNext(now)
-	for q.running < q.limit && len(q.waiting) > 0 {
+	for len(q.running) < q.limit && len(q.waiting) > 0 {
 		if wait := q.pace.Wait(now, 0); wait > 0 {
 			q.wakeAt(now, now.Add(wait))
 			return
@@ -255,7 +275,10 @@
 		if !w.timely(now) {
 			q.learnLate(false)
 		}
-		q.running++
+		if q.running == nil {
+			q.running = make(map[*Waiter]time.Time)
+		}
+		q.running[w] = now
 		q.pace.Start(now)
 		w.settle(nil)
 	}
@@ -306,7 +329,7 @@
 			w.settle(&Refusal{Reason: ReasonExpired})
 			continue
 		}
-		if !w.Nested && !w.timely(now) && q.running >= q.limit && (q.starves() || now.After(w.giveUp)) {
+		if !w.Nested && !w.timely(now) && len(q.running) >= q.limit && (q.starves() || now.After(w.giveUp)) {
 			q.learnLate(true)
 			w.settle(&Refusal{Reason: ReasonStarved, Wait: q.work})
 			continue
--- a/sched/queue_test.go
+++ b/sched/queue_test.go
@@ -62,7 +62,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			q := queue(c, 1)
-			if _, r := q.Enter(ask(c, aim, last)); r != nil {
+			running, r := q.Enter(ask(c, aim, last))
+			if r != nil {
 				t.Fatal(r)
 			}
 			second, r := q.Enter(test.second)
@@ -73,7 +74,7 @@
 			if r != nil {
 				t.Fatal(r)
 			}
-			q.Leave(work)
+			q.Leave(running, work)
 			if settled(first) != "runs" || settled(second) != "waits" {
 				t.Errorf("first %s, second %s", settled(first), settled(second))
 			}
@@ -85,15 +86,16 @@
 func TestRefusal(t *testing.T) {
 	c := clockwork.NewFakeClock()
 	q := queue(c, 1)
-	if _, r := q.Enter(ask(c, aim, last)); r != nil {
+	running, r := q.Enter(ask(c, aim, last))
+	if r != nil {
 		t.Fatal(r)
 	}
-	if _, r := q.Enter(ask(c, aim, 150*time.Millisecond)); r == nil || r.Reason != sched.ReasonLate || r.Wait <= 0 {
+	if _, r = q.Enter(ask(c, aim, 150*time.Millisecond)); r == nil || r.Reason != sched.ReasonLate || r.Wait <= 0 {
 		t.Errorf("a request that can't end in time: %v", r)
 	}
 	impatient := ask(c, aim, last)
 	impatient.Patience = 10 * time.Millisecond
-	if _, r := q.Enter(impatient); r == nil || r.Reason != sched.ReasonBusy {
+	if _, r = q.Enter(impatient); r == nil || r.Reason != sched.ReasonBusy {
 		t.Errorf("a request that would rather go elsewhere: %v", r)
 	}
 	waits, r := q.Enter(ask(c, aim, 300*time.Millisecond))
@@ -101,7 +103,7 @@
 		t.Fatal(r)
 	}
 	c.Advance(280 * time.Millisecond)
-	q.Leave(work)
+	q.Leave(running, work)
 	if got := settled(waits); got != string(sched.ReasonExpired) {
 		t.Errorf("a request that has become hopeless: %s", got)
 	}
@@ -147,7 +149,7 @@
 	if !q.Withdraw(waiting) {
 		t.Error("a waiting request was not withdrawn")
 	}
-	q.Leave(work)
+	q.Leave(running, work)
 	if settled(waiting) != string(sched.ReasonLeft) || settled(next) != "runs" {
 		t.Errorf("withdrawn %s, next %s", settled(waiting), settled(next))
 	}
@@ -176,7 +178,7 @@
 					continue
 				}
 				starts = append(starts, c.Now())
-				q.Leave(work)
+				q.Leave(w, work)
 			}
 			waiting = kept
 		}
@@ -194,3 +196,20 @@
 		}
 	})
 }
+
+// TestSlowServer guards that the expected wait grows with the age of what runs, although nothing ends.
+func TestSlowServer(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	q := queue(c, 2)
+	for range 2 {
+		if _, r := q.Enter(ask(c, time.Hour, time.Hour)); r != nil {
+			t.Fatal(r)
+		}
+	}
+	c.Advance(time.Second)
+	impatient := ask(c, time.Hour, time.Hour)
+	impatient.Patience = 2 * work
+	if _, r := q.Enter(impatient); r == nil || r.Wait < 400*time.Millisecond {
+		t.Errorf("refusal %+v, want one with a wait of half a second", r)
+	}
+}
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -172,7 +172,7 @@
 		known: o.World.formatKnown(),
 	}
 	c.doors++
-	p.started(now)
+	number := p.started(now)
 	var res *doorResult
 	if e.Calls == o.Self {
 		res = o.Door.admit(ctx, d)
@@ -185,7 +185,7 @@
 	end := o.Clock.Now()
 	failed := res.outcome == shunt.AttemptUnknown || res.arrived && res.outcome == shunt.AttemptNotRun ||
 		res.status >= http.StatusInternalServerError
-	p.ended(end, res.load, res.reached || ctx.Err() != nil, failed, res.arrived && ctx.Err() == nil)
+	p.ended(number, end, res.load, res.reached || ctx.Err() != nil, failed, res.arrived && ctx.Err() == nil)
 	if res.closed {
 		p.avoid(end, shutPause)
 	}
--- a/side/door.go
+++ b/side/door.go
@@ -128,7 +128,7 @@
 		return refused(r)
 	}
 	var took time.Duration
-	defer func() { d.Queue.Leave(took) }()
+	defer func() { d.Queue.Leave(waiter, took) }()
 	if ctx.Err() != nil {
 		return notRun(string(sched.ReasonLeft))
 	}
--- a/side/peer.go
+++ b/side/peer.go
@@ -13,6 +13,10 @@
 	maxPause   = 2 * time.Second
 	// successWeight is the weight of one outcome in the moving share of successes.
 	successWeight = 0.1
+	// slowFactor is how many times as old as the time of a request this node's unanswered ones must be on average to
+	// show that the server has become slow, and slowSample how many they must be.
+	slowFactor = 4
+	slowSample = 4
 	// recentSpan is the span in which sends to a cold server are counted.
 	recentSpan = time.Second
 )
@@ -25,7 +29,8 @@
 		coldTill time.Time
 		report   loadReport
 		reported time.Time
-		mine     int
+		mine     map[int]time.Time // requests of this node that have no answer yet, and since when
+		next     int
 		failing  float64 // moving share of attempts that failed at the server
 		pause    time.Duration
 		until    time.Time // nothing is sent before, after the node was not reached
@@ -72,12 +77,15 @@
 		return place.Candidate{}, false
 	}
 	c := place.Candidate{
-		Addr: p.entry.Calls, Near: p.entry.Domain == domain, Slots: p.entry.Slots, Mine: p.mine,
+		Addr: p.entry.Calls, Near: p.entry.Domain == domain, Slots: p.entry.Slots, Mine: len(p.mine),
 		Success: 1 - p.failing, Age: now.Sub(p.reported), ColdFor: max(p.coldTill.Sub(now), 0),
 	}
 	if !p.reported.IsZero() {
 		c.Running, c.Queued, c.Work = p.report.running, p.report.queued, p.report.work
 	}
+	if age := p.age(now); len(p.mine) >= slowSample && age > slowFactor*c.Work && c.Work > 0 {
+		c.Work = age
+	}
 	if c.ColdFor > 0 {
 		for len(p.sent) > 0 && now.Sub(p.sent[0]) > recentSpan {
 			p.sent = p.sent[1:]
@@ -87,20 +95,36 @@
 	return c, true
 }
 
-func (p *peerNode) started(now time.Time) {
+// age returns the mean age of this node's requests that have no answer yet. It exceeds the time of a request where a
+// server has become slow or hangs, before any answer tells.
+func (p *peerNode) age(now time.Time) time.Duration {
+	var age time.Duration
+	for _, since := range p.mine {
+		age += now.Sub(since)
+	}
+	return age / time.Duration(max(len(p.mine), 1))
+}
+
+// started counts a request and returns the number by which it ends.
+func (p *peerNode) started(now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mine++
+	if p.mine == nil {
+		p.mine = make(map[int]time.Time)
+	}
+	p.next++
+	p.mine[p.next] = now
 	if now.Before(p.coldTill) {
 		p.sent = append(p.sent, now)
 	}
+	return p.next
 }
 
 // ended counts an attempt's end. Reached says whether the node answered; failed whether its server failed.
-func (p *peerNode) ended(now time.Time, r *loadReport, reached, failed, counts bool) {
+func (p *peerNode) ended(number int, now time.Time, r *loadReport, reached, failed, counts bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mine--
+	delete(p.mine, number)
 	if r != nil {
 		p.report, p.reported = *r, now
 		if r.cold > 0 {
--- a/side/server_test.go
+++ b/side/server_test.go
@@ -147,7 +147,7 @@
 				continue
 			}
 			runs++
-			q.Leave(time.Millisecond)
+			q.Leave(w, time.Millisecond)
 		}
 		if runs != test.runs {
 			t.Errorf("after %q confirmed, %d of 4 run, want %d", test.id, runs, test.runs)
@@ -190,7 +190,7 @@
 					select {
 					case <-w.Done():
 						started++
-						q.Leave(time.Millisecond)
+						q.Leave(w, time.Millisecond)
 					default:
 						q.Withdraw(w)
 					}
--- a/side/state.go
+++ b/side/state.go
@@ -59,7 +59,7 @@
 	for _, p := range n.world.peers {
 		p.mu.Lock()
 		s.Nodes = append(s.Nodes, entryState{
-			entry: p.entry, Running: p.report.running, Queued: p.report.queued, Mine: p.mine, Failing: p.failing,
+			entry: p.entry, Running: p.report.running, Queued: p.report.queued, Mine: len(p.mine), Failing: p.failing,
 			Until: p.until,
 		})
 		p.mu.Unlock()
