Name the halves of the platform's node as in the rest of the project

Cause: newcomer's reading: door and tell are no terms of the field, and three files held more than one job. No behaviour changed.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxDoors bounds the nodes that are asked for one request. Asking costs a round trip each.
-	maxDoors = 5
+	// maxNodes bounds the nodes that are asked for one request. Asking costs a round trip each.
+	maxNodes = 5
 	// expectBody is the size from which a body is sent to another node only after that node has a place for it.
 	// The body of a request that must not run twice always waits: a node that is gone cannot have run it then.
 	expectBody = 4 << 10
@@ -29,7 +29,7 @@
 )
 
 // run asks nodes until one answers, or until nothing more may or can be tried.
-func (c *call) run(ctx context.Context) *doorResult {
+func (c *call) run(ctx context.Context) *inboundResult {
 	o := c.out
 	budget := o.budgets.of(c.service, o.Clock, o.Bounds(), len(o.World.nodes()))
 	budget.First()
@@ -38,7 +38,7 @@
 	gone := make(map[string]bool)             // nodes not to be asked again
 	held := false                             // the request has waited in vain already
 	last := notRun("no server of " + c.service + " is known")
-	for c.doors < maxDoors && ctx.Err() == nil {
+	for c.nodes < maxNodes && ctx.Err() == nil {
 		p, choice, ok := c.choose(version, focus, refused, gone)
 		if trial && (!ok || len(refused) > 0) {
 			// The new version has no room: the old one takes the request.
@@ -84,7 +84,7 @@
 }
 
 // pick keeps an answer of a server in favour of a later failure.
-func pick(last, res *doorResult) *doorResult {
+func pick(last, res *inboundResult) *inboundResult {
 	if last.outcome == shunt.AttemptAnswered && res.outcome != shunt.AttemptAnswered {
 		return last
 	}
@@ -92,7 +92,7 @@
 }
 
 // worst keeps a refusal from saying that the request did not run when an earlier attempt may have.
-func (c *call) worst(res *doorResult) *doorResult {
+func (c *call) worst(res *inboundResult) *inboundResult {
 	if res.outcome == shunt.AttemptNotRun && c.maybe {
 		res.outcome = shunt.AttemptUnknown
 	}
@@ -100,7 +100,7 @@
 }
 
 // again reports whether a request that a server got may go to another one.
-func (c *call) again(res *doorResult, budget func() bool) bool {
+func (c *call) again(res *inboundResult, budget func() bool) bool {
 	if res.outcome != shunt.AttemptNotRun {
 		c.maybe = true
 	}
@@ -157,11 +157,11 @@
 }
 
 // try asks one node.
-func (c *call) try(ctx context.Context, p *peerNode, patience time.Duration) *doorResult {
+func (c *call) try(ctx context.Context, p *peerNode, patience time.Duration) *inboundResult {
 	o := c.out
 	now := o.Clock.Now()
 	e := p.get()
-	d := &doorCall{
+	d := &inboundCall{
 		method: c.method, uri: c.uri, host: c.host, header: c.header, id: c.id, route: c.route.Name,
 		body: func() ([]byte, error) { return c.body, nil }, server: e.Server, caller: o.Service(),
 		left: c.deadline.Sub(now),
@@ -171,11 +171,11 @@
 		},
 		known: o.World.formatKnown(),
 	}
-	c.doors++
+	c.nodes++
 	number := p.started(now)
-	var res *doorResult
+	var res *inboundResult
 	if e.Calls == o.Self {
-		res = o.Door.admit(ctx, d)
+		res = o.Inbound.admit(ctx, d)
 	} else {
 		res = c.send(ctx, e.Calls, d)
 	}
@@ -197,7 +197,7 @@
 }
 
 // send passes a request to another node.
-func (c *call) send(ctx context.Context, addr string, d *doorCall) *doorResult {
+func (c *call) send(ctx context.Context, addr string, d *inboundCall) *inboundResult {
 	h := c.header.Clone()
 	proxy.Strip(h)
 	d.set(h)
@@ -215,7 +215,7 @@
 	if errors.As(err, &failed) && !failed.Sent {
 		return notRun("node " + addr + " can't be reached: " + err.Error())
 	}
-	return &doorResult{
+	return &inboundResult{
 		outcome: shunt.AttemptUnknown, arrived: true, reason: "node " + addr + " did not answer: " + err.Error(),
 	}
 }
--- a/side/call.go
+++ b/side/call.go
@@ -33,8 +33,8 @@
 var errTerms = errors.New("terms of the request can't be read")
 
 type (
-	// doorCall is a request for the backend server of a node.
-	doorCall struct {
+	// inboundCall is a request for the backend server of a node.
+	inboundCall struct {
 		method, uri, host string
 		header            http.Header // as the caller sent it, without what concerns one connection
 		body              func() ([]byte, error)
@@ -55,8 +55,8 @@
 		patience   time.Duration // 0 for any
 	}
 
-	// doorResult is what became of a doorCall.
-	doorResult struct {
+	// inboundResult is what became of a inboundCall.
+	inboundResult struct {
 		outcome shunt.AttemptOutcome
 		arrived bool // the server got the request
 		reached bool // the node answered
@@ -132,7 +132,7 @@
 }
 
 // set writes the call's own headers for the way to another node.
-func (c *doorCall) set(h http.Header) {
+func (c *inboundCall) set(h http.Header) {
 	h[proxy.HeaderRequestID] = []string{c.id}
 	h[proxy.HeaderRoute] = []string{c.route}
 	h[proxy.HeaderTimeout] = []string{strconv.FormatInt(c.left.Milliseconds(), 10)}
@@ -143,7 +143,7 @@
 }
 
 // readCall reads what set wrote.
-func readCall(r *http.Request) (*doorCall, error) {
+func readCall(r *http.Request) (*inboundCall, error) {
 	t, err := parseTerms(r.Header.Get(headerTerms))
 	if err != nil {
 		return nil, err
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, errTerms
 	}
-	return &doorCall{
+	return &inboundCall{
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: proxy.Forwardable(r.Header),
 		id: r.Header.Get(proxy.HeaderRequestID), route: r.Header.Get(proxy.HeaderRoute),
 		server: r.Header.Get(headerServer), caller: r.Header.Get(headerCaller),
@@ -161,7 +161,7 @@
 }
 
 // set writes the result's own headers for the way back.
-func (r *doorResult) set(h http.Header, id string) {
+func (r *inboundResult) set(h http.Header, id string) {
 	h[proxy.HeaderRequestID] = []string{id}
 	h[proxy.HeaderOutcome] = []string{r.outcome.String()}
 	if r.reason != "" {
@@ -185,8 +185,8 @@
 }
 
 // readResult reads what set wrote and leaves the server's own headers.
-func readResult(status int, h http.Header, body []byte) *doorResult {
-	r := &doorResult{
+func readResult(status int, h http.Header, body []byte) *inboundResult {
+	r := &inboundResult{
 		reached: true, status: status, body: body, reason: h.Get(proxy.HeaderReason),
 		load: parseLoad(h.Get(proxy.HeaderLoad)), arrived: h.Get(headerArrived) != "",
 		closed: h.Get(headerServer) == "closed", known: h.Get(proxy.HeaderConfig),
--- a/side/door.go
+++ b/side/inbound.go
@@ -30,8 +30,8 @@
 )
 
 type (
-	// Door admits requests to the backend server beside the node. It is the handler of the listener for calls.
-	Door struct {
+	// Inbound admits requests to the backend server beside the node. It is the handler of the listener for calls.
+	Inbound struct {
 		Clock   clockwork.Clock
 		Dialect shunt.Dialect
 		World   *World
@@ -48,16 +48,16 @@
 )
 
 // ServeHTTP implements http.Handler.
-func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (in *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, err := readCall(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	c.body = func() ([]byte, error) { return readBody(r) }
-	d.World.seeKnown(c.known)
-	res := d.admit(r.Context(), c)
-	res.known = d.World.formatKnown()
+	in.World.seeKnown(c.known)
+	res := in.admit(r.Context(), c)
+	res.known = in.World.formatKnown()
 	h := w.Header()
 	status := res.status
 	if res.outcome != shunt.AttemptAnswered {
@@ -79,38 +79,38 @@
 
 // admit runs a request on the server, once it is its turn. When ctx ends, a waiting request is withdrawn; one that
 // runs is broken off only if it may be repeated.
-func (d *Door) admit(ctx context.Context, c *doorCall) *doorResult {
-	arrived := d.Clock.Now()
-	res := d.run(ctx, c, arrived)
-	l, work := d.Queue.Load()
+func (in *Inbound) admit(ctx context.Context, c *inboundCall) *inboundResult {
+	arrived := in.Clock.Now()
+	res := in.run(ctx, c, arrived)
+	l, work := in.Queue.Load()
 	res.load = &loadReport{
-		running: l.InFlight, limit: l.Limit, queued: l.Queued, work: work, cold: d.Server.Cold(),
+		running: l.InFlight, limit: l.Limit, queued: l.Queued, work: work, cold: in.Server.Cold(),
 	}
 	res.reached = true
 	if res.outcome != shunt.AttemptAnswered {
-		d.Meter.refusal(res.reason)
+		in.Meter.refusal(res.reason)
 		log.WithFields(log.Fields{
 			"request": c.id, "route": c.route, "server": c.server, "outcome": res.outcome, "reason": res.reason,
 			"running": l.InFlight, "queued": l.Queued, "limit": l.Limit, "left": c.left, "wait": res.wait,
-			"took": d.Clock.Since(arrived),
+			"took": in.Clock.Since(arrived),
 		}).Info("request not answered by server")
 	}
 	return res
 }
 
-func (d *Door) run(ctx context.Context, c *doorCall, arrived time.Time) *doorResult {
-	report, usable := d.Server.Current()
+func (in *Inbound) run(ctx context.Context, c *inboundCall, arrived time.Time) *inboundResult {
+	report, usable := in.Server.Current()
 	switch {
 	case !usable || report.ID != c.server:
 		return shut("server " + c.server + " is not here or leaves")
-	case d.World.Out(d.Domain):
+	case in.World.Out(in.Domain):
 		return shut("failure domain is out")
-	case !d.World.allows(report.Service, report.Version):
+	case !in.World.allows(report.Service, report.Version):
 		return shut("version " + report.Version + " may not run requests")
 	}
-	work := d.works.expected(c.route)
-	waiter, refusal := d.Queue.Enter(sched.Ask{
-		Nested:  d.callers.nested(c.route, c.caller, d.World.services()),
+	work := in.works.expected(c.route)
+	waiter, refusal := in.Queue.Enter(sched.Ask{
+		Nested:  in.callers.nested(c.route, c.caller, in.World.services()),
 		Urgency: c.terms.urgency, AimAt: arrived.Add(c.terms.aim),
 		Deadline: arrived.Add(c.left), Work: work, Patience: c.terms.patience,
 	})
@@ -120,7 +120,7 @@
 	select {
 	case <-waiter.Done():
 	case <-ctx.Done():
-		if d.Queue.Withdraw(waiter) {
+		if in.Queue.Withdraw(waiter) {
 			return notRun(string(sched.ReasonLeft))
 		}
 	}
@@ -128,7 +128,7 @@
 		return refused(r)
 	}
 	var took time.Duration
-	defer func() { d.Queue.Leave(waiter, took) }()
+	defer func() { in.Queue.Leave(waiter, took) }()
 	if ctx.Err() != nil {
 		return notRun(string(sched.ReasonLeft))
 	}
@@ -137,21 +137,21 @@
 		return notRun("body can't be read: " + err.Error())
 	}
 	// The server may have left or been taken out while the request waited.
-	if now, ok := d.Server.Current(); !ok || now.ID != c.server || d.World.Out(d.Domain) {
+	if now, ok := in.Server.Current(); !ok || now.ID != c.server || in.World.Out(in.Domain) {
 		return shut("server left while the request waited")
 	}
-	sent := d.Clock.Now()
-	res := d.send(ctx, c, body, c.left-sent.Sub(arrived))
+	sent := in.Clock.Now()
+	res := in.send(ctx, c, body, c.left-sent.Sub(arrived))
 	if res.outcome == shunt.AttemptAnswered {
-		took = d.Clock.Since(sent)
-		d.works.learn(c.route, took)
+		took = in.Clock.Since(sent)
+		in.works.learn(c.route, took)
 	}
-	d.tell(c, res, d.Clock.Since(sent))
+	in.tell(c, res, in.Clock.Since(sent))
 	return res
 }
 
 // send passes the request to the server and reads the whole answer.
-func (d *Door) send(ctx context.Context, c *doorCall, body []byte, left time.Duration) *doorResult {
+func (in *Inbound) send(ctx context.Context, c *inboundCall, body []byte, left time.Duration) *inboundResult {
 	if !c.terms.repeatable {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -159,80 +159,80 @@
 	defer cancel()
 	h := c.header.Clone()
 	proxy.Strip(h)
-	d.Dialect.ToServer(h, shunt.ServerCall{
+	in.Dialect.ToServer(h, shunt.ServerCall{
 		ID: c.id, Deadline: left - returnMargin, Server: c.server, Caller: c.caller,
 	})
 	req := &conns.Request{
 		Method: c.method, URI: c.uri, Host: c.host, Header: h, Body: body, Limit: answerBytes,
-		Own: func(status int, h http.Header) bool { return d.Dialect.FromServer(status, h).ID == c.id },
+		Own: func(status int, h http.Header) bool { return in.Dialect.FromServer(status, h).ID == c.id },
 	}
 	if !c.terms.repeatable {
 		req.Fresh = freshForOnce
 	}
-	resp, err := d.Pool.Do(ctx, d.Server.Address(), req)
+	resp, err := in.Pool.Do(ctx, in.Server.Address(), req)
 	if err != nil {
-		return d.broken(err)
+		return in.broken(err)
 	}
-	answer := d.Dialect.FromServer(resp.Status, resp.Header)
+	answer := in.Dialect.FromServer(resp.Status, resp.Header)
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
-		d.Server.Replaced(c.server)
+		in.Server.Replaced(c.server)
 		return shut("another server answers at the address: " + answer.Server)
 	case answer.NotRun:
-		return &doorResult{
+		return &inboundResult{
 			outcome: shunt.AttemptNotRun, arrived: true,
 			reason: "server refused with status " + strconv.Itoa(resp.Status),
 		}
 	case !answer.Signed && resp.Status < http.StatusBadRequest:
-		return &doorResult{outcome: shunt.AttemptUnknown, arrived: true, reason: "answer is not signed"}
+		return &inboundResult{outcome: shunt.AttemptUnknown, arrived: true, reason: "answer is not signed"}
 	}
-	return &doorResult{
+	return &inboundResult{
 		outcome: shunt.AttemptAnswered, arrived: true, status: resp.Status,
 		header: proxy.Forwardable(resp.Header), body: resp.Body,
 	}
 }
 
 // broken tells what a failed exchange with the server says of the request and of the server.
-func (d *Door) broken(err error) *doorResult {
+func (in *Inbound) broken(err error) *inboundResult {
 	var failed *conns.Error
 	sent := !errors.As(err, &failed) || failed.Sent
 	switch {
 	case !sent && errors.Is(err, syscall.ECONNREFUSED):
-		d.Server.Unreachable()
+		in.Server.Unreachable()
 		return shut("server refuses connections")
 	case !sent:
 		return notRun("server can't be reached: " + err.Error())
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 	case errors.Is(err, syscall.ECONNRESET):
-		d.Server.Doubt()
+		in.Server.Doubt()
 	}
-	return &doorResult{
+	return &inboundResult{
 		outcome: shunt.AttemptUnknown, arrived: true, reason: "server did not answer: " + err.Error(),
 	}
 }
 
 // tell counts the answer for a move that is going on. Refusals and answers of cold servers say nothing about a
 // version.
-func (d *Door) tell(c *doorCall, res *doorResult, took time.Duration) {
-	if d.Answers == nil || d.Server.Cold() > 0 || !res.arrived || res.outcome == shunt.AttemptNotRun {
+func (in *Inbound) tell(c *inboundCall, res *inboundResult, took time.Duration) {
+	if in.Answers == nil || in.Server.Cold() > 0 || !res.arrived || res.outcome == shunt.AttemptNotRun {
 		return
 	}
 	failed := res.outcome != shunt.AttemptAnswered || res.status >= http.StatusInternalServerError
-	d.Answers(c.route, failed, took)
+	in.Answers(c.route, failed, took)
 }
 
-func notRun(reason string) *doorResult {
-	return &doorResult{outcome: shunt.AttemptNotRun, reason: reason}
+func notRun(reason string) *inboundResult {
+	return &inboundResult{outcome: shunt.AttemptNotRun, reason: reason}
 }
 
 // shut is a refusal that does not depend on the load.
-func shut(reason string) *doorResult {
+func shut(reason string) *inboundResult {
 	r := notRun(reason)
 	r.closed = true
 	return r
 }
 
-func refused(r *sched.Refusal) *doorResult {
+func refused(r *sched.Refusal) *inboundResult {
 	res := notRun(r.Error())
 	res.wait = r.Wait
 	res.closed = r.Reason == sched.ReasonClosed
--- a/side/mover.go
+++ b/side/mover.go
@@ -75,50 +75,10 @@
 		for _, v := range m.World.openMoves() {
 			m.judge(ctx, v)
 		}
-		m.tellTally(ctx)
+		m.pushTally(ctx)
 	}
 }
 
-// moveView is what a World knows of the move of one service.
-type moveView struct {
-	order   shunt.ShiftOrder
-	heard   time.Time
-	record  *shift.Record // nil until the move was begun
-	since   time.Time
-	tallies map[string]*shift.Tally
-	ready   int
-	from    string
-}
-
-// openMoves returns the moves that were ordered.
-func (w *World) openMoves() []moveView {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	var list []moveView
-	for service, o := range w.orders {
-		v := moveView{order: o, heard: w.heard[service], tallies: make(map[string]*shift.Tally)}
-		for node, t := range w.tally[service] {
-			v.tallies[node] = t
-		}
-		if s := w.moves[service]; s != nil && s.Order == o.Offset {
-			r := s.Record
-			v.record, v.since = &r, s.since
-		} else if s != nil {
-			v.from = s.Version(1, 0)
-		} else {
-			v.from = w.baseline(service)
-		}
-		for _, p := range w.peers {
-			e := p.get()
-			if e.Service == service && e.Version == o.Target && !e.Leaving && !e.Stopping {
-				v.ready++
-			}
-		}
-		list = append(list, v)
-	}
-	return list
-}
-
 func (m *Mover) judge(ctx context.Context, v moveView) {
 	j := m.moves[v.order.Service]
 	if j == nil || j.order != v.order.Offset {
@@ -281,81 +241,3 @@
 		return m.Operator.Answered(k, v.order.Service, v.order.Target)
 	}), nil
 }
-
-// Answered counts an answer of the server beside this node, while its service is being moved.
-func (m *Mover) Answered(route string, failed bool, latency time.Duration) {
-	report, _ := m.Server.Current()
-	order, open := m.World.openOrder(report.Service)
-	if !open {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.tally.Order != order || m.tally.Version != report.Version {
-		m.tally, m.told = shift.Tally{Order: order, Version: report.Version}, 0
-	}
-	m.tally.Add(route, failed, latency)
-}
-
-// openOrder returns the order of a service's move that has begun and not ended.
-func (w *World) openOrder(service string) (int64, bool) {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	s := w.moves[service]
-	if s == nil || s.Phase.Ended() {
-		return 0, false
-	}
-	return s.Order, true
-}
-
-// tellTally stores what the server answered since the last time.
-func (m *Mover) tellTally(ctx context.Context) {
-	now := m.Clock.Now()
-	m.mu.Lock()
-	total := m.tally.Total()
-	if total == m.told || now.Sub(m.at) < tallyEvery {
-		m.mu.Unlock()
-		return
-	}
-	m.at = now
-	args := TallyArgs{Node: m.Self, Tally: m.tally.Clone()}
-	m.mu.Unlock()
-	report, _ := m.Server.Current()
-	args.Service = report.Service
-	m.World.setTally(args.Service, m.Self, &args.Tally)
-	for _, addr := range m.judges(args.Service, args.Tally.Order) {
-		go m.push(ctx, addr, args)
-	}
-	m.mu.Lock()
-	m.told = total
-	m.mu.Unlock()
-}
-
-// push tells another node of the tally.
-func (m *Mover) push(ctx context.Context, addr string, args TallyArgs) {
-	ctx, cancel := context.WithTimeout(ctx, tallyEvery)
-	defer cancel()
-	if err := m.Peers.Call(ctx, addr, feedService, feedService+".Tally", args, &struct{}{}); err != nil {
-		log.WithError(err).WithField("node", addr).Debug("tally was not taken")
-	}
-}
-
-// judges returns the feeds of the nodes that decide on a service's move.
-func (m *Mover) judges(service string, order int64) []string {
-	m.World.mu.RLock()
-	o, ok := m.World.orders[service]
-	m.World.mu.RUnlock()
-	if !ok || o.Offset != order {
-		return nil
-	}
-	var list []string
-	for _, node := range m.ranked(o) {
-		if e, ok := m.World.entryOf(node); ok && node != m.Self && e.Control != "" {
-			list = append(list, e.Control)
-		}
-		if len(list) == tallyCopies {
-			break
-		}
-	}
-	return list
-}
--- a/side/node.go
+++ b/side/node.go
@@ -77,7 +77,7 @@
 		world    *World
 		queue    *sched.Queue
 		server   *Server
-		door     *Door
+		inbound  *Inbound
 		outbound *Outbound
 		sync     *Sync
 		mover    *Mover
@@ -127,7 +127,7 @@
 		Clock: c, Store: a.Store, Operator: a.Operator, World: n.world, Server: n.server, Self: s.Listeners.Calls,
 		Peers: peers,
 	}
-	n.door = &Door{
+	n.inbound = &Inbound{
 		Clock: c, Dialect: a.Dialect, World: n.world, Server: n.server, Queue: n.queue, Meter: n.meter,
 		Domain: s.Domain, Answers: n.mover.Answered,
 		Pool: conns.New(conns.Options{
@@ -135,11 +135,11 @@
 		}),
 	}
 	n.outbound = &Outbound{
-		Clock: c, Dialect: a.Dialect, World: n.world, Door: n.door, Self: s.Listeners.Calls, Domain: s.Domain,
+		Clock: c, Dialect: a.Dialect, World: n.world, Inbound: n.inbound, Self: s.Listeners.Calls, Domain: s.Domain,
 		Service: func() string { return n.settings.Load().Service }, Bounds: n.bounds, Meter: n.meter,
 		Pool: conns.New(conns.Options{DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout}),
 	}
-	n.server.told, n.server.ask = n.sync.Tell, n.confirm
+	n.server.notify, n.server.ask = n.sync.Publish, n.confirm
 	n.calls = &gate{next: n.outbound}
 	return n
 }
@@ -168,7 +168,7 @@
 	}{
 		{"ready", s.Listeners.Ready, proxy.NewServer(n.adapter.Ready(n), proxy.Limits{})},
 		{"servers", s.Listeners.Servers, proxy.NewServer(n.adapter.Servers(n), proxy.Limits{})},
-		{"calls", s.Listeners.Calls, proxy.NewServer(n.door, proxy.Limits{Idle: callerIdle})},
+		{"calls", s.Listeners.Calls, proxy.NewServer(n.inbound, proxy.Limits{Idle: callerIdle})},
 		{"operators", s.Listeners.Operators, proxy.NewServer(n.operators(), proxy.Limits{})},
 		{"callers", s.Listeners.Callers, n.callers},
 	} {
@@ -262,7 +262,7 @@
 	if path == "" {
 		return shunt.ServerAnswer{}, errNoHealthPath
 	}
-	resp, err := n.door.Pool.Do(ctx, s.Server, &conns.Request{
+	resp, err := n.inbound.Pool.Do(ctx, s.Server, &conns.Request{
 		Method: http.MethodGet, URI: path, Host: s.Server, Header: http.Header{}, Limit: answerBytes,
 	})
 	if err != nil {
--- a/side/outbound.go
+++ b/side/outbound.go
@@ -42,7 +42,7 @@
 		Clock   clockwork.Clock
 		Dialect shunt.Dialect
 		World   *World
-		Door    *Door
+		Inbound *Inbound
 		Self    string // address of this node for calls
 		Domain  string
 		Service func() string
@@ -79,7 +79,7 @@
 		deadline time.Time
 		aimAt    time.Time
 		attempts int // servers that got the request
-		doors    int // nodes that were asked
+		nodes    int // nodes that were asked
 		maybe    bool
 	}
 
@@ -181,14 +181,14 @@
 	o.Meter.request(status, took)
 	log.WithFields(log.Fields{
 		"request": c.id, "route": c.route.Name, "service": c.service, "config": c.version, "status": status,
-		"outcome": res.outcome, "reason": res.reason, "attempts": c.attempts, "nodes": c.doors, "took": took,
+		"outcome": res.outcome, "reason": res.reason, "attempts": c.attempts, "nodes": c.nodes, "took": took,
 		"left": c.deadline.Sub(o.Clock.Now()), "bytes": len(c.body),
 	}).Info("request ended")
 }
 
 // retryAfter returns when the caller should come back: about when the backlog that the request met is gone,
 // spread so that those who were refused together do not return together.
-func (c *call) retryAfter(res *doorResult) time.Duration {
+func (c *call) retryAfter(res *inboundResult) time.Duration {
 	left := c.deadline.Sub(c.out.Clock.Now())
 	most := time.Duration(retryShare * float64(left))
 	wait := max(res.wait, c.out.works.expected(c.route.Name)/2)
@@ -197,7 +197,7 @@
 }
 
 // answer writes the server's answer.
-func answer(w http.ResponseWriter, res *doorResult) {
+func answer(w http.ResponseWriter, res *inboundResult) {
 	h := w.Header()
 	for name, v := range res.header {
 		h[name] = v
--- a/side/server.go
+++ b/side/server.go
@@ -30,11 +30,11 @@
 type (
 	// Server is the backend server beside the node, as it reports itself.
 	Server struct {
-		clock clockwork.Clock
-		queue *sched.Queue
-		spec  func() shunt.ServiceSpec
-		told  func(urgent bool) // the record changed
-		ask   func()            // asks the server who it is, and calls Confirmed
+		clock  clockwork.Clock
+		queue  *sched.Queue
+		spec   func() shunt.ServiceSpec
+		notify func(urgent bool) // called when the record has changed
+		ask    func()            // asks the server who it is, and calls Confirmed
 
 		mu       sync.Mutex
 		service  string
@@ -55,7 +55,7 @@
 	q.Close()
 	return &Server{
 		clock: c, queue: q, spec: spec, service: service, address: address,
-		told: func(bool) {}, ask: func() {}, ended: make(map[string]int64),
+		notify: func(bool) {}, ask: func() {}, ended: make(map[string]int64),
 	}
 }
 
@@ -106,7 +106,7 @@
 	s.mu.Unlock()
 	s.apply()
 	if changed {
-		s.told(urgent)
+		s.notify(urgent)
 	}
 	return nil
 }
@@ -165,7 +165,7 @@
 	log.WithFields(log.Fields{"server": id, "born": born}).Info("backend server ends")
 	s.apply()
 	if changed {
-		s.told(true)
+		s.notify(true)
 	}
 }
 
@@ -180,7 +180,7 @@
 	s.accept(r)
 	s.mu.Unlock()
 	s.apply()
-	s.told(false)
+	s.notify(false)
 }
 
 // Doubt is called when the server broke a connection, which may mean that it has restarted: until it has said who it
@@ -222,7 +222,7 @@
 	s.clock.AfterFunc(unreachablePause, s.apply)
 }
 
-// Replaced is called when another server answered at the address. Only a report opens the door again.
+// Replaced is called when another server answered at the address. Only a report lets requests in again.
 func (s *Server) Replaced(id string) {
 	s.mu.Lock()
 	if s.report.ID == id {
--- a/side/server_test.go
+++ b/side/server_test.go
@@ -96,7 +96,7 @@
 func TestRestoreTells(t *testing.T) {
 	s, _ := testServer(clockwork.NewFakeClock())
 	told := 0
-	s.told = func(bool) { told++ }
+	s.notify = func(bool) { told++ }
 	s.Restore(report("a", 1, 5))
 	if told != 1 {
 		t.Errorf("others were told %d times, want once", told)
--- a/side/sync.go
+++ b/side/sync.go
@@ -25,16 +25,11 @@
 	keyMember = "member/" // + address for calls
 	keyMove   = "move/"   // + service
 
-	// urgentTell bounds how long the word of a leaving server waits for the store before it is acknowledged.
-	urgentTell = 400 * time.Millisecond
-	// firstShun and maxShun bound the time for which a feed that failed is left alone.
-	firstShun = time.Second
-	maxShun   = 8 * time.Second
-	// watchedDomains is the number of failure domains whose reading node watches the store.
-	watchedDomains = 2
-	// tellBackoff and maxTellBackoff bound the pause after a record could not be stored.
-	tellBackoff    = 250 * time.Millisecond
-	maxTellBackoff = time.Second
+	// urgentPublish bounds how long the word of a leaving server waits for the store before it is acknowledged.
+	urgentPublish = 400 * time.Millisecond
+	// publishBackoff and maxPublishBackoff bound the pause after a record could not be stored.
+	publishBackoff    = 250 * time.Millisecond
+	maxPublishBackoff = time.Second
 )
 
 // Sync keeps a World in step with the store, and tells the other nodes of the server beside this one.
@@ -77,7 +72,7 @@
 	} {
 		wg.Go(func() { f.run(ctx) })
 	}
-	wg.Go(func() { s.tellAll(ctx) })
+	wg.Go(func() { s.publishAll(ctx) })
 	wg.Wait()
 }
 
@@ -111,64 +106,6 @@
 	}
 }
 
-// shunned is a feed that failed.
-type shunned struct {
-	until time.Time
-	pause time.Duration
-}
-
-// relays returns the feeds from which this node reads, best first, and none when it reads from the store itself.
-// In each failure domain the first of World.live reads from the store, and the next ones take its place.
-func (s *Sync) relays() []string {
-	const most = 2
-	var list []string
-	for _, e := range s.World.live(s.Domain) {
-		if e.Calls == s.Self {
-			return list
-		}
-		if e.Control == "" || s.isShunned(e.Control) {
-			continue
-		}
-		if list = append(list, e.Control); len(list) == most {
-			return list
-		}
-	}
-	return list
-}
-
-// shun leaves a feed alone for a while.
-func (s *Sync) shun(control string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.shunned == nil {
-		s.shunned = make(map[string]shunned)
-	}
-	now := s.Clock.Now()
-	old := s.shunned[control]
-	pause := firstShun
-	if now.Sub(old.until) < old.pause {
-		pause = min(2*old.pause, maxShun)
-	}
-	s.shunned[control] = shunned{until: now.Add(pause), pause: pause}
-}
-
-func (s *Sync) isShunned(control string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.Clock.Now().Before(s.shunned[control].until)
-}
-
-// watches reports whether this node is one of those that watch the store for all.
-func (s *Sync) watches() bool {
-	domains := s.World.domains()
-	for _, domain := range domains[:min(len(domains), watchedDomains)] {
-		if domain == s.Domain {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Sync) applyMesh(records []shunt.Keyed, _ bool) {
 	for _, k := range records {
 		s.World.read(k.Offset)
@@ -204,8 +141,8 @@
 	return nil
 }
 
-// Tell has the node's entry stored. With urgent it returns once it is, or after urgentTell.
-func (s *Sync) Tell(urgent bool) {
+// Publish has the node's entry stored. With urgent it returns once it is, or after urgentPublish.
+func (s *Sync) Publish(urgent bool) {
 	s.mu.Lock()
 	if s.changed == nil {
 		s.changed = make(chan struct{}, 1)
@@ -224,7 +161,7 @@
 	}
 	select {
 	case <-stored:
-	case <-s.Clock.After(urgentTell):
+	case <-s.Clock.After(urgentPublish):
 		log.WithField("server", s.entry().Server).Warn("store did not take the entry in time")
 	}
 }
@@ -234,7 +171,7 @@
 	s.mu.Lock()
 	s.stopped = true
 	s.mu.Unlock()
-	s.Tell(true)
+	s.Publish(true)
 }
 
 func (s *Sync) entry() entry {
@@ -260,8 +197,8 @@
 	}
 }
 
-// tellAll stores the node's entry whenever it changes.
-func (s *Sync) tellAll(ctx context.Context) {
+// publishAll stores the node's entry whenever it changes.
+func (s *Sync) publishAll(ctx context.Context) {
 	s.mu.Lock()
 	if s.changed == nil {
 		s.changed = make(chan struct{}, 1)
@@ -274,12 +211,12 @@
 		case <-ctx.Done():
 			return
 		}
-		s.tell(ctx)
+		s.publish(ctx)
 	}
 }
 
-func (s *Sync) tell(ctx context.Context) {
-	backoff := tellBackoff
+func (s *Sync) publish(ctx context.Context) {
+	backoff := publishBackoff
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		stored := s.stored
@@ -301,14 +238,14 @@
 			close(stored)
 		}
 		s.mu.Unlock()
-		if backoff == tellBackoff {
+		if backoff == publishBackoff {
 			log.WithError(err).WithField("server", e.Server).Warn("entry was not stored, trying on")
 		}
 		select {
 		case <-s.Clock.After(time.Duration((0.5 + rand.Float64()) * float64(backoff))):
 		case <-ctx.Done():
 		}
-		backoff = min(2*backoff, maxTellBackoff)
+		backoff = min(2*backoff, maxPublishBackoff)
 	}
 }
 
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -26,7 +26,7 @@
 		Clock: c, Store: store, Operator: fakeOperator{}, World: w, Server: server, Peers: pool, Self: self,
 		Domain: "a", Started: 1, feed: newFeed(c, w),
 	}
-	server.told = s.Tell
+	server.notify = s.Publish
 	return s
 }
 
@@ -142,7 +142,7 @@
 	if err := s.Server.Heard(leaving(report("b", 2, 1))); err != nil {
 		t.Fatal(err)
 	}
-	if took := time.Since(began); took > urgentTell+300*time.Millisecond {
+	if took := time.Since(began); took > urgentPublish+300*time.Millisecond {
 		t.Errorf("acknowledged after %s without a store", took)
 	}
 	store.set(func(f *fakeStore) { f.down = false })
@@ -189,7 +189,7 @@
 			<-done
 			end()
 		}
-		s.Tell(false)
+		s.Publish(false)
 	}
 	stopped := make([]bool, len(nodes))
 	stopAt := func(i int) {
