--- a/params/params.go
+++ b/params/params.go
@@ -210,6 +210,9 @@
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return fmt.Errorf("settings %q: text after the end of the object", path)
 	}
+	if err := checkDuplicates(data); err != nil {
+		return fmt.Errorf("settings %q: %w", path, err)
+	}
 	return nil
 }
 
