--- a/params/duplicate.go
+++ b/params/duplicate.go
@@ -23,7 +23,7 @@
 		return checkObject(d, path)
 	case json.Delim('['):
 		for d.More() {
-			if err := checkValue(d, path+"[]"); err != nil {
+			if err = checkValue(d, path+"[]"); err != nil {
 				return err
 			}
 		}
