Reach for lost nodes in the background, and break circles of feeds

After a new instance got the address of one that was gone, its node published a slower link. It began to follow the node that still followed it; the whole failure domain read from that circle and kept version 4 from 12.5 s on although the store held version 7. 2. After the closing fault the entries of instances that are gone were still in the store. A server's call has 300 ms; connecting to such a node took them all, and the end of the call's own time counted as the caller leaving, so the node was never marked. 4,701 calls failed so between 33 and 46 s, each failing its parent. Change: replies of feeds count the nodes to the store and a feed refuses beyond 3; a node that knows less than others for 1 s leaves its feed. A node that was not connected to is left alone until a connection in the background succeeds; connecting takes 150 ms at most and counts as vain although the request's time ended it. Tests: TestCircle, TestLost; both fail without the change. Conclusion: recovery after a fault is bound by what nodes believe of instances that are gone.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -55,9 +55,10 @@
 
 	// Error is why there is no complete answer.
 	Error struct {
-		Err    error
-		Sent   bool // whether the peer may have got the request; not so while it has not asked for the body
-		Reused bool // whether the connection had carried other requests before
+		Err       error
+		Connected bool // whether there was a connection
+		Sent      bool // whether the peer may have got the request; not so while it has not asked for the body
+		Reused    bool // whether the connection had carried other requests before
 	}
 
 	// writer sends one request's header and body.
@@ -87,7 +88,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &Error{Err: err, Sent: sent, Reused: c.reused}
+		return nil, &Error{Err: err, Connected: true, Sent: sent, Reused: c.reused}
 	}
 	return resp, nil
 }
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -97,6 +97,16 @@
 	p.idle[c.addr] = append(p.idle[c.addr], c)
 }
 
+// Reach opens a connection to an address and keeps it for later requests.
+func (p *Pool) Reach(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // Retire closes the idle connections to an address, after one of them turned out to be dead.
 func (p *Pool) Retire(addr string) {
 	p.mu.Lock()
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -185,7 +185,10 @@
 	end := o.Clock.Now()
 	failed := res.outcome == shunt.AttemptUnknown || res.arrived && res.outcome == shunt.AttemptNotRun ||
 		res.status >= http.StatusInternalServerError
-	p.ended(number, end, res.load, res.reached || ctx.Err() != nil, failed, res.arrived && ctx.Err() == nil)
+	reached := res.reached || ctx.Err() != nil && (res.connected || end.Sub(now) < lostAfter)
+	if p.ended(number, end, res.load, reached, failed, res.arrived && ctx.Err() == nil) {
+		o.Lost.add(p, res.reason)
+	}
 	if res.closed {
 		p.avoid(end, shutPause)
 	}
@@ -213,9 +216,11 @@
 	}
 	var failed *conns.Error
 	if errors.As(err, &failed) && !failed.Sent {
-		return notRun("node " + addr + " can't be reached: " + err.Error())
+		res := notRun("node " + addr + " can't be reached: " + err.Error())
+		res.connected = failed.Connected
+		return res
 	}
 	return &inboundResult{
-		outcome: shunt.AttemptUnknown, arrived: true, reason: "node " + addr + " did not answer: " + err.Error(),
+		outcome: shunt.AttemptUnknown, arrived: true, connected: true, reason: "node " + addr + " did not answer: " + err.Error(),
 	}
 }
--- a/side/call.go
+++ b/side/call.go
@@ -57,17 +57,18 @@
 
 	// inboundResult is what became of a inboundCall.
 	inboundResult struct {
-		outcome shunt.AttemptOutcome
-		arrived bool // the server got the request
-		reached bool // the node answered
-		status  int
-		header  http.Header
-		body    []byte
-		reason  string
-		wait    time.Duration
-		load    *loadReport
-		known   string
-		closed  bool // the server takes no requests whatever the load is
+		outcome   shunt.AttemptOutcome
+		arrived   bool // the server got the request
+		connected bool // there was a connection to the node
+		reached   bool // the node answered
+		status    int
+		header    http.Header
+		body      []byte
+		reason    string
+		wait      time.Duration
+		load      *loadReport
+		known     string
+		closed    bool // the server takes no requests whatever the load is
 	}
 )
 
--- a/side/feed.go
+++ b/side/feed.go
@@ -27,10 +27,17 @@
 	unpackedBytes = 64 << 20
 	// feedWaitMax bounds the time for which a call waits for news.
 	feedWaitMax = 2 * time.Second
+	// feedHops bounds the nodes that a record passes on its way from the store. Nodes whose views of the mesh differ
+	// may follow each other in a circle, where the number grows with each round until the circle breaks.
+	feedHops = 3
 )
 
-// errFeedBehind means that the node can't tell what the store holds now.
-var errFeedBehind = errors.New("node has lost the store")
+var (
+	// errFeedBehind means that the node can't tell what the store holds now.
+	errFeedBehind = errors.New("node has lost the store")
+	// errFeedFar means that the node follows the store through too many others.
+	errFeedFar = errors.New("node is too far from the store")
+)
 
 type (
 	// Feed hands on to other nodes what a node has read from the store, so that one read serves many nodes. Its
@@ -50,6 +57,7 @@
 		next    int64
 		packed  map[int64][]byte // replies by the offset that was asked for, valid until the next record
 		current bool             // the topic was read as a whole, and the store answered the last read
+		hops    int              // nodes between this one and the store at the last read
 		changed chan struct{}
 	}
 
@@ -62,11 +70,13 @@
 	}
 
 	// FeedReply holds records, as pack writes them, and the offset from which to go on. Whole says that they are
-	// the newest of each key and not those from the offset on.
+	// the newest of each key and not those from the offset on. Hops is the number of nodes from the store to the
+	// reader of the reply.
 	FeedReply struct {
 		Packed []byte
 		Next   int64
 		Whole  bool
+		Hops   int
 	}
 
 	// TallyArgs tells what the server beside a node answered during a move.
@@ -91,6 +101,10 @@
 			f.mu.Unlock()
 			return errFeedBehind
 		}
+		if t.hops >= feedHops {
+			f.mu.Unlock()
+			return errFeedFar
+		}
 		changed := t.changed
 		done, err := t.read(args.From, reply)
 		f.mu.Unlock()
@@ -123,7 +137,7 @@
 
 // read fills in a reply and reports whether there was anything.
 func (t *feedTopic) read(from int64, reply *FeedReply) (bool, error) {
-	reply.Next = t.next
+	reply.Next, reply.Hops = t.next, t.hops+1
 	reply.Whole = from < t.first || from > t.next
 	if !reply.Whole && from == t.next {
 		return false, nil
@@ -189,11 +203,12 @@
 	return records, err
 }
 
-// add takes in what was read of a topic, wherever from.
-func (f *Feed) add(topic string, records []shunt.Keyed, next int64, whole bool) {
+// add takes in what was read of a topic through a number of other nodes.
+func (f *Feed) add(topic string, records []shunt.Keyed, next int64, whole bool, hops int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.topic(topic)
+	t.hops = hops
 	if whole {
 		t.newest, t.latest, t.first = make(map[string]shunt.Keyed), nil, next
 	}
@@ -230,14 +245,13 @@
 // followPeer reads a topic from another node's feed.
 func (s *Sync) followPeer(
 	ctx context.Context, addr, topic string, from int64,
-) (records []shunt.Keyed, next int64, whole bool, err error) {
+) (records []shunt.Keyed, reply FeedReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
 	defer cancel()
-	var reply FeedReply
 	args := FeedArgs{Topic: topic, From: from, Wait: relayWait}
 	if err = s.Peers.Call(ctx, addr, feedService, feedService+".Follow", args, &reply); err != nil {
-		return nil, from, false, err
+		return nil, reply, err
 	}
 	records, err = unpack(reply.Packed)
-	return records, reply.Next, reply.Whole, err
+	return records, reply, err
 }
--- a/side/feed_test.go
+++ b/side/feed_test.go
@@ -43,10 +43,10 @@
 	if _, _, err := follow(-1); err == nil {
 		t.Error("a feed that has read nothing answered")
 	}
-	f.add("t", []shunt.Keyed{{Key: "a", Value: []byte("1"), Offset: 4}}, 5, true)
+	f.add("t", []shunt.Keyed{{Key: "a", Value: []byte("1"), Offset: 4}}, 5, true, 0)
 	f.add("t", []shunt.Keyed{
 		{Key: "b", Value: []byte("1"), Offset: 5}, {Key: "b", Value: []byte("2"), Offset: 6},
-	}, 7, false)
+	}, 7, false, 0)
 	for _, test := range []struct {
 		from    int64
 		whole   bool
@@ -69,7 +69,7 @@
 			}
 		}
 	}
-	f.add("t", []shunt.Keyed{{Key: "a", Offset: 7}}, 8, false)
+	f.add("t", []shunt.Keyed{{Key: "a", Offset: 7}}, 8, false, 0)
 	if records, _, err := follow(-1); err != nil || len(records) != 1 {
 		t.Errorf("after a key was dropped: %+v, %v", records, err)
 	}
--- a/side/follow.go
+++ b/side/follow.go
@@ -25,6 +25,8 @@
 	// behindFor is the time for which a node may know less than another before it reads anew: a read that waits
 	// in a store which came back from an outage may never be answered.
 	behindFor = 250 * time.Millisecond
+	// relayBehindFor is the same for a node that reads from another, whose way to the store may be long.
+	relayBehindFor = time.Second
 	// behindPoll is how often a node compares what it knows with what others know.
 	behindPoll = 100 * time.Millisecond
 	// coalesce is the pause between two reads of a topic, so that a burst of changes costs one read.
@@ -34,8 +36,12 @@
 	maxBackoff   = 500 * time.Millisecond
 )
 
-// errNoSource means that no other node could be read from, and it is too early to read from the store again.
-var errNoSource = errors.New("no node to read from, and the store was read shortly before")
+var (
+	// errNoSource means that no other node could be read from, and it is too early to read from the store again.
+	errNoSource = errors.New("no node to read from, and the store was read shortly before")
+	// errRelayBehind means that the node that was read from knows less than others.
+	errRelayBehind = errors.New("node knows less than others")
+)
 
 // follower applies the newest records of a topic and then each change, until its context ends. It reads from one
 // of its relays, or from the store when there is none or none has the store.
@@ -48,6 +54,7 @@
 
 	next     int64 // offset to read from, -1 before the topic was read as a whole
 	failed   bool
+	lagging  time.Time // since when others are known to know more, while this node reads from another
 	directAt time.Time // earliest time of the next read from the store by a node that has relays
 }
 
@@ -77,13 +84,14 @@
 func (f *follower) step(ctx context.Context) error {
 	relays := f.sync.relays()
 	if len(relays) > 0 {
-		records, next, whole, err := f.sync.followPeer(ctx, relays[0], f.topic, f.next)
+		err := f.relayed(ctx, relays[0])
 		if err == nil {
-			f.take(records, next, whole)
 			return nil
 		}
 		// The next node may be gone with this one, and asking it could take as long again.
 		f.sync.shun(relays[0])
+		log.WithError(err).WithFields(log.Fields{"topic": f.topic, "feed": relays[0], "from": f.next}).
+			Info("feed left alone")
 	}
 	now := f.sync.Clock.Now()
 	if len(relays) > 0 && f.next >= 0 {
@@ -95,6 +103,26 @@
 	return f.direct(ctx, len(relays) > 0)
 }
 
+// relayed reads from another node.
+func (f *follower) relayed(ctx context.Context, control string) error {
+	records, reply, err := f.sync.followPeer(ctx, control, f.topic, f.next)
+	if err != nil {
+		return err
+	}
+	f.take(records, reply.Next, reply.Whole, reply.Hops)
+	now := f.sync.Clock.Now()
+	switch {
+	case len(records) > 0 || !f.behind():
+		f.lagging = time.Time{}
+	case f.lagging.IsZero():
+		f.lagging = now
+	case now.Sub(f.lagging) >= relayBehindFor:
+		f.lagging = time.Time{}
+		return errRelayBehind
+	}
+	return nil
+}
+
 // direct reads from the store. A node that has relays only catches up.
 func (f *follower) direct(ctx context.Context, hasRelays bool) error {
 	if f.next < 0 {
@@ -102,7 +130,7 @@
 		if err != nil {
 			return err
 		}
-		f.take(records, next, true)
+		f.take(records, next, true, 0)
 		return nil
 	}
 	wait := followWait
@@ -128,18 +156,18 @@
 	if err != nil {
 		return err
 	}
-	f.take(records, next, false)
+	f.take(records, next, false, 0)
 	return nil
 }
 
-// take applies what was read and hands it on.
-func (f *follower) take(records []shunt.Keyed, next int64, whole bool) {
+// take applies what was read through a number of other nodes, and hands it on.
+func (f *follower) take(records []shunt.Keyed, next int64, whole bool, hops int) {
 	if len(records) > 0 || whole {
 		f.apply(records, whole)
 	}
 	first := f.next < 0
 	f.next = next
-	f.sync.feed.add(f.topic, records, next, whole)
+	f.sync.feed.add(f.topic, records, next, whole, hops)
 	if first {
 		f.synced()
 	}
--- /dev/null
+++ b/side/lost_test.go
@@ -0,0 +1,99 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conns"
+	"tanagershunt.example/shunt/route"
+)
+
+// hangingAddress returns an address at which connections are neither accepted nor refused.
+func hangingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err = unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*unix.SockaddrInet4).Port}
+	for range 4 {
+		// The kernel queues a few connections that nobody accepts and drops what follows.
+		c, err := net.DialTimeout("tcp4", addr.String(), 100*time.Millisecond)
+		if err != nil {
+			return addr.String()
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("connections do not hang")
+	return ""
+}
+
+// TestLost guards that one request with little time left is enough to learn that a node is gone, that no later one is
+// spent on it, and that it is used again once it was reached in the background.
+func TestLost(t *testing.T) {
+	c := clockwork.NewRealClock()
+	w := NewWorld(c)
+	addr := hangingAddress(t)
+	w.setEntry(entry{Calls: addr, Service: testService, Server: "a", Version: "v1", Slots: 1, Domain: "a"})
+	reachable := make(chan struct{})
+	lost := newLostNodes(c, func(context.Context, string) error {
+		select {
+		case <-reachable:
+			return nil
+		default:
+			return errors.New("no answer")
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lost.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	o := &Outbound{
+		Clock: c, World: w, Self: "127.0.0.1:1", Domain: "a", Service: func() string { return "front" },
+		Pool:   conns.New(conns.Options{DialTimeout: peerDialTimeout}),
+		Bounds: func() Bounds { return Bounds{} }, Lost: lost,
+	}
+	send := func(left time.Duration) (*inboundResult, time.Duration) {
+		began := c.Now()
+		call := &call{
+			out: o, id: "1", method: "GET", uri: "/", header: make(map[string][]string), service: testService,
+			route:   &route.Entry{MeshRoute: shunt.MeshRoute{Name: "r", Repeatable: true, MaxAttempts: 2}},
+			arrived: began, deadline: began.Add(left), aimAt: began.Add(left),
+		}
+		ctx, cancel := context.WithDeadline(t.Context(), call.deadline)
+		defer cancel()
+		return call.run(ctx), c.Since(began)
+	}
+	if res, _ := send(lostAfter + 20*time.Millisecond); res.outcome != shunt.AttemptNotRun {
+		t.Errorf("first request: %s, want not run", res.outcome)
+	}
+	if res, took := send(time.Second); res.outcome != shunt.AttemptNotRun || took > peerDialTimeout/2 {
+		t.Errorf("second request: %s after %s, want not run at once", res.outcome, took)
+	}
+	close(reachable)
+	within(t, 2*maxReach, "node found", func() bool { return len(w.nodes()) == 1 })
+}
--- a/side/node.go
+++ b/side/node.go
@@ -35,8 +35,9 @@
 	stopLead = 700 * time.Millisecond
 	// stopMargin is kept from the grace time for the process to end.
 	stopMargin = time.Second
-	// peerDialTimeout bounds a connection to another node; their ways are a few milliseconds long.
-	peerDialTimeout = 400 * time.Millisecond
+	// peerDialTimeout bounds a connection to another node. Their ways are a few milliseconds long, and a request that
+	// has 300 ms left must still have time for another node.
+	peerDialTimeout = 150 * time.Millisecond
 	// trialShare is the part of the allowed exposure that a trial uses in ordinary times; the rest is for loading a
 	// server and for the time until a fault is seen after the switch.
 	trialShare = 1.0 / 3
@@ -80,6 +81,7 @@
 		inbound  *Inbound
 		outbound *Outbound
 		sync     *Sync
+		lost     *lostNodes
 		mover    *Mover
 		feed     *Feed
 		rpc      *peer.Server
@@ -134,10 +136,12 @@
 			DialTimeout: serverDialTimeout, Opened: func() { n.meter.count("side_server_connections_total") },
 		}),
 	}
+	nodes := conns.New(conns.Options{DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout})
+	n.lost = newLostNodes(c, nodes.Reach)
 	n.outbound = &Outbound{
 		Clock: c, Dialect: a.Dialect, World: n.world, Inbound: n.inbound, Self: s.Listeners.Calls, Domain: s.Domain,
 		Service: func() string { return n.settings.Load().Service }, Bounds: n.bounds, Meter: n.meter,
-		Pool: conns.New(conns.Options{DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout}),
+		Pool: nodes, Lost: n.lost,
 	}
 	n.server.notify, n.server.ask = n.sync.Publish, n.confirm
 	n.calls = &gate{next: n.outbound}
@@ -179,7 +183,7 @@
 	if err := n.serveFeed(s.Listeners.Control); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){n.sync.Run, n.mover.Run, n.restore} {
+	for _, run := range []func(context.Context){n.sync.Run, n.lost.Run, n.mover.Run, n.restore} {
 		n.wg.Go(func() { run(n.ctx) })
 	}
 	log.WithFields(log.Fields{
--- a/side/outbound.go
+++ b/side/outbound.go
@@ -49,6 +49,7 @@
 		Pool    *conns.Pool // connections to other nodes
 		Bounds  func() Bounds
 		Meter   *Meter
+		Lost    *lostNodes
 
 		works   workTable
 		memory  memory
--- a/side/peer.go
+++ b/side/peer.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// firstPause and maxPause bound the time for which a node that was not reached is left alone.
-	firstPause = 150 * time.Millisecond
-	maxPause   = 2 * time.Second
 	// successWeight is the weight of one outcome in the moving share of successes.
 	successWeight = 0.1
 	// slowFactor is how many times as old as the time of a request this node's unanswered ones must be on average to
@@ -31,9 +28,9 @@
 		reported time.Time
 		mine     map[int]time.Time // requests of this node that have no answer yet, and since when
 		next     int
-		failing  float64 // moving share of attempts that failed at the server
-		pause    time.Duration
-		until    time.Time // nothing is sent before, after the node was not reached
+		failing  float64   // moving share of attempts that failed at the server
+		lost     bool      // the node was not reached
+		until    time.Time // nothing is sent before
 		sent     []time.Time
 	}
 
@@ -55,25 +52,32 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e.Started != p.entry.Started || e.Born != p.entry.Born || e.Server != p.entry.Server {
-		p.pause, p.until, p.failing = 0, time.Time{}, 0
+		p.lost, p.until, p.failing = false, time.Time{}, 0
 		p.report, p.reported = loadReport{}, time.Time{}
 	}
 	p.entry = e
 	p.coldTill = now.Add(time.Duration(e.ColdMS) * time.Millisecond)
 }
 
-// lost reports whether the node could not be reached lately.
-func (p *peerNode) lost(now time.Time) bool {
+// isLost reports whether the node was not reached and has not been since.
+func (p *peerNode) isLost() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pause > 0 && now.Before(p.until.Add(maxPause))
+	return p.lost
 }
 
-// candidate returns what place needs to know. It reports false while the node is left alone.
+// found records that the node was reached again.
+func (p *peerNode) found() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = false
+}
+
+// candidate returns what place needs to know. It reports false while the node is lost or left alone.
 func (p *peerNode) candidate(now time.Time, domain string) (place.Candidate, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Before(p.until) {
+	if p.lost || now.Before(p.until) {
 		return place.Candidate{}, false
 	}
 	c := place.Candidate{
@@ -120,8 +124,9 @@
 	return p.next
 }
 
-// ended counts an attempt's end. Reached says whether the node answered; failed whether its server failed.
-func (p *peerNode) ended(number int, now time.Time, r *loadReport, reached, failed, counts bool) {
+// ended counts an attempt's end. Reached says whether the node answered; failed whether its server failed. It reports
+// whether the node is lost since then.
+func (p *peerNode) ended(number int, now time.Time, r *loadReport, reached, failed, counts bool) (lost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.mine, number)
@@ -132,19 +137,20 @@
 		}
 	}
 	if !reached {
-		p.pause = min(max(2*p.pause, firstPause), maxPause)
-		p.until = now.Add(p.pause)
-		return
+		lost = !p.lost
+		p.lost = true
+		return lost
 	}
-	p.pause = 0
+	p.lost = false
 	if !counts {
-		return
+		return false
 	}
 	outcome := 0.0
 	if failed {
 		outcome = 1
 	}
 	p.failing += successWeight * (outcome - p.failing)
+	return false
 }
 
 // avoid leaves the server alone for a while after its node has refused a request whatever the load is.
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -239,3 +239,36 @@
 	}
 	return true
 }
+
+// TestCircle guards that nodes which follow each other, since one has told of itself and the other has not read it yet,
+// notice and return to the store.
+func TestCircle(t *testing.T) {
+	store := newFakeStore()
+	put(t, store, config(1))
+	weak, strong := testSync(t, store, "127.0.0.1:1"), testSync(t, store, "127.0.0.1:2")
+	for _, s := range []*Sync{weak, strong} {
+		t.Cleanup(serveFeed(t, s))
+	}
+	// The weak node is at the address of an earlier one with a fast link, whose entry is still in the store.
+	weak.Link, strong.Link = 200, 100
+	for _, s := range []*Sync{weak, strong} {
+		start(t, s)
+		s.Publish(false)
+	}
+	follows := func(s, other *Sync) bool {
+		relays := s.relays()
+		return len(relays) == 1 && relays[0] == other.Control
+	}
+	within(t, 2*time.Second, "strong node follows weak one", func() bool { return follows(strong, weak) })
+	time.Sleep(relayWait)
+	e := weak.entry()
+	e.Link = 10
+	weak.World.setEntry(e)
+	weak.Link = 10
+	if !follows(weak, strong) || !follows(strong, weak) {
+		t.Fatal("nodes do not follow each other")
+	}
+	time.Sleep(watchWait + coalesce) // the weak node's last read of the store ends
+	put(t, store, config(2))
+	within(t, 4*time.Second, "change in a circle", func() bool { return all([]*Sync{weak, strong}, 2) })
+}
--- a/side/world.go
+++ b/side/world.go
@@ -169,14 +169,13 @@
 	return p.get(), true
 }
 
-// nodes returns the addresses of all nodes that neither stop nor were lost lately, sorted.
+// nodes returns the addresses of all nodes that neither stop nor are lost, sorted.
 func (w *World) nodes() []string {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	list := make([]string, 0, len(w.peers))
-	now := w.clock.Now()
 	for addr, p := range w.peers {
-		if !p.get().Stopping && !p.lost(now) {
+		if !p.get().Stopping && !p.isLost() {
 			list = append(list, addr)
 		}
 	}
@@ -297,15 +296,14 @@
 
 func (w *World) behindMesh() bool { return w.meshAt.Load() < w.seenMesh.Load() }
 
-// live returns the entries of the nodes of a failure domain that do not stop and were not lost lately, those with
+// live returns the entries of the nodes of a failure domain that neither stop nor are lost, those with
 // the fastest links first, then by address.
 func (w *World) live(domain string) []entry {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	var list []entry
-	now := w.clock.Now()
 	for _, p := range w.peers {
-		if e := p.get(); e.Domain == domain && !e.Stopping && !p.lost(now) {
+		if e := p.get(); e.Domain == domain && !e.Stopping && !p.isLost() {
 			list = append(list, e)
 		}
 	}
