Never begin a move that another node has begun

All traffic went to a version that failed half of its requests. Ruled out: a lost condition of the append: the record was written at the end that had been read, and the stored trial counted as an earlier phase of the same move. Change: a record of the same order replaces another only if it moves from the same version and does not begin anew; a node begins no move before it has read what the others told; the version in service is that whose first server at some address is the oldest, also when that server was replaced. Tests: TestBeginOnce, TestBaseline; each fails with its mechanism off. The condition of an append guards against lost updates, not against a writer that knows too little.

--- a/shift/shift.go
+++ b/shift/shift.go
@@ -67,6 +67,15 @@
 	}
 )
 
+// Follows reports whether a record may replace one that is stored. A move begins once and ends once: a node that does
+// not know of the stored record must not begin the move anew.
+func (r *Record) Follows(stored Record) bool {
+	if stored.Order != r.Order {
+		return stored.Order < r.Order
+	}
+	return r.From == stored.From && stored.Phase != r.Phase && !stored.Phase.Ended() && r.Phase != Trial
+}
+
 // Ended reports whether the phase is final.
 func (p Phase) Ended() bool { return p == Complete || p == Back }
 
--- a/side/mover.go
+++ b/side/mover.go
@@ -42,6 +42,7 @@
 		Server   *Server
 		Peers    *peer.Pool
 		Self     string
+		Ready    func() bool // whether the node knows what the others have told
 
 		mu    sync.Mutex
 		tally shift.Tally
@@ -126,7 +127,7 @@
 // begin stores the move's first record.
 func (m *Mover) begin(ctx context.Context, v moveView, j *judged) {
 	now := m.Clock.Now()
-	if now.Sub(j.since) < m.delay(v.order) || v.from == "" {
+	if now.Sub(j.since) < m.delay(v.order) || v.from == "" || !m.Ready() {
 		return
 	}
 	r := shift.Begin(v.order, v.from, now)
@@ -175,7 +176,7 @@
 			continue
 		}
 		m.World.setMove(service, stored)
-		if stored.Order > r.Order || stored.Order == r.Order && (stored.Phase == r.Phase || stored.Phase.Ended()) {
+		if !r.Follows(stored) {
 			return
 		}
 	}
--- /dev/null
+++ b/side/mover_test.go
@@ -0,0 +1,83 @@
+package side
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/sched"
+	"tanagershunt.example/shunt/shift"
+)
+
+// storedMove returns the record of the test service's move.
+func storedMove(t *testing.T, store *fakeStore) (r shift.Record) {
+	t.Helper()
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	for _, k := range store.topics[topicMesh] {
+		if k.Key != keyMove+testService {
+			continue
+		}
+		if err := json.Unmarshal(k.Value, &r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r
+}
+
+// TestBeginOnce guards that a node which knows the servers of the new version only, for instance since it has just
+// started, does not state that the move is complete: not before it knows what the others have told, and not after
+// another node has begun the move.
+func TestBeginOnce(t *testing.T) {
+	for _, ready := range []bool{false, true} {
+		store := newFakeStore()
+		s := testSync(t, store, "10.0.0.9:1")
+		order := shunt.ShiftOrder{Service: testService, Target: "v2", Within: 12 * time.Second, Offset: 7}
+		begun := shift.Begin(order, "v1", s.Clock.Now())
+		if ready {
+			data, err := json.Marshal(begun)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := store.Append(t.Context(), topicMesh, -1, shunt.Keyed{Key: keyMove + testService, Value: data}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.World.SetOrder(order)
+		s.World.setEntry(entry{Calls: s.Self, Service: testService, Server: "new", Version: "v2", Born: 9, Since: 9, Slots: 1})
+		m := &Mover{
+			Clock: s.Clock, Store: store, Operator: fakeOperator{}, World: s.World, Server: s.Server, Self: s.Self,
+			Ready: func() bool { return ready }, moves: make(map[string]*judged),
+		}
+		for _, v := range s.World.openMoves() {
+			m.judge(t.Context(), v)
+		}
+		if got := storedMove(t, store); got.Phase.Ended() || ready && got != begun {
+			t.Errorf("ready %v: stored %+v", ready, got)
+		}
+	}
+}
+
+// TestBaseline guards that the version in service stays the one that was there first when all its servers are replaced
+// by later ones while those of a new version already run.
+func TestBaseline(t *testing.T) {
+	w := NewWorld(clockwork.NewFakeClock())
+	s := &Sync{World: w, Self: "10.0.0.1:1", Server: NewServer(w.clock, &sched.Queue{Clock: w.clock}, func() shunt.ServiceSpec {
+		return shunt.ServiceSpec{}
+	}, testService, testAddress)}
+	tell := func(born int64) {
+		if err := s.Server.Heard(report("old", born, 1)); err != nil {
+			t.Fatal(err)
+		}
+		w.setEntry(s.entry())
+	}
+	tell(1)
+	w.setEntry(entry{Calls: "10.0.0.2:1", Service: testService, Server: "new", Version: "v2", Born: 5, Since: 5})
+	tell(9)
+	if got := w.baseline(testService); got != "v1" {
+		t.Errorf("version in service is %s, want v1", got)
+	}
+}
--- a/side/sync.go
+++ b/side/sync.go
@@ -27,6 +27,9 @@
 
 	// urgentPublish bounds how long the word of a leaving server waits for the store before it is acknowledged.
 	urgentPublish = 400 * time.Millisecond
+	// meshPolls is how often, syncPoll apart, a starting node looks whether the mesh topic was read before it stores its
+	// entry without that.
+	meshPolls = 15
 	// publishBackoff and maxPublishBackoff bound the pause after a record could not be stored.
 	publishBackoff    = 250 * time.Millisecond
 	maxPublishBackoff = time.Second
@@ -188,6 +191,10 @@
 	s.mu.Lock()
 	stopping := s.stopped
 	s.mu.Unlock()
+	since := r.Born
+	if old, ok := s.World.entryOf(s.Self); ok && old.Service == r.Service && old.Version == r.Version && old.Since > 0 {
+		since = min(since, old.Since)
+	}
 	return entry{
 		Calls:    s.Self,
 		Control:  s.Control,
@@ -198,6 +205,7 @@
 		Born:     r.Born,
 		Sequence: r.Sequence,
 		Version:  r.Version,
+		Since:    since,
 		Slots:    r.Slots,
 		Leaving:  r.Leaving,
 		ColdMS:   s.Server.Cold().Milliseconds(),
@@ -226,6 +234,7 @@
 
 func (s *Sync) publish(ctx context.Context) {
 	backoff := publishBackoff
+	s.awaitMesh(ctx)
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		stored := s.stored
@@ -258,6 +267,20 @@
 	}
 }
 
+// awaitMesh waits for a while until the node knows what its last incarnation told.
+func (s *Sync) awaitMesh(ctx context.Context) {
+	for range meshPolls {
+		if s.mesh.Load() {
+			return
+		}
+		select {
+		case <-s.Clock.After(syncPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (s *Sync) put(ctx context.Context, e entry) error {
 	data, err := json.Marshal(e)
 	if err != nil {
--- a/side/world.go
+++ b/side/world.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 		Born     int64  `json:"born"`
 		Sequence int64  `json:"seq"`
 		Version  string `json:"version"`
+		Since    int64  `json:"since"` // start of the first server of this version here, milliseconds since the epoch
 		Slots    int    `json:"slots"`
 		Leaving  bool   `json:"leaving,omitempty"`
 		ColdMS   int64  `json:"coldMs,omitempty"`
@@ -45,6 +47,7 @@
 		meshAt     atomic.Int64  // offset of the latest record read of the mesh topic
 		seenMesh   atomic.Int64  // the same of the node that is furthest
 		seenConfig atomic.Uint64 // newest version of the configuration that a node has told of
+		configured chan struct{} // closed once a configuration is in force
 
 		mu     sync.RWMutex
 		out    map[string]bool // failure domains that the operator has taken out
@@ -64,19 +67,33 @@
 // NewWorld returns a world without knowledge.
 func NewWorld(c clockwork.Clock) *World {
 	return &World{
-		clock:  c,
-		out:    make(map[string]bool),
-		orders: make(map[string]shunt.ShiftOrder),
-		heard:  make(map[string]time.Time),
-		moves:  make(map[string]*moveState),
-		peers:  make(map[string]*peerNode),
-		tally:  make(map[string]map[string]*shift.Tally),
+		clock:      c,
+		configured: make(chan struct{}),
+		out:        make(map[string]bool),
+		orders:     make(map[string]shunt.ShiftOrder),
+		heard:      make(map[string]time.Time),
+		moves:      make(map[string]*moveState),
+		peers:      make(map[string]*peerNode),
+		tally:      make(map[string]map[string]*shift.Tally),
 	}
 }
 
 // Table returns the configuration in force, or nil when none is known yet.
 func (w *World) Table() *route.Table { return w.table.Load() }
 
+// AwaitTable returns the configuration in force. While none is known it waits for a time.
+func (w *World) AwaitTable(ctx context.Context, d time.Duration) *route.Table {
+	if t := w.Table(); t != nil || d <= 0 {
+		return t
+	}
+	select {
+	case <-w.configured:
+	case <-w.clock.After(d):
+	case <-ctx.Done():
+	}
+	return w.Table()
+}
+
 // SetConfig puts a configuration in force unless it is older than the current one. Versions never fall while the
 // process lives, whatever the store hands out.
 func (w *World) SetConfig(c *shunt.MeshConfig) {
@@ -85,7 +102,9 @@
 	if old := w.table.Load(); old != nil && old.Config().Version >= c.Version {
 		return
 	}
-	w.table.Store(route.New(c))
+	if w.table.Swap(route.New(c)) == nil {
+		close(w.configured)
+	}
 	log.WithFields(log.Fields{
 		"version": c.Version, "routes": len(c.Routes), "services": len(c.Services),
 	}).Info("configuration in force")
@@ -183,7 +202,8 @@
 	return list
 }
 
-// baseline returns the version that serves when there is no move: that of the server which was there first.
+// baseline returns the version that serves when there is no move: that which was there first. A server that took the
+// place of one of its version counts from that one's start.
 func (w *World) baseline(service string) string {
 	var oldest entry
 	for _, p := range w.peers {
@@ -191,7 +211,7 @@
 		if e.Service != service || e.Version == "" {
 			continue
 		}
-		if oldest.Version == "" || cmp.Or(cmp.Compare(e.Born, oldest.Born), cmp.Compare(e.Calls, oldest.Calls)) < 0 {
+		if oldest.Version == "" || cmp.Or(cmp.Compare(e.Since, oldest.Since), cmp.Compare(e.Calls, oldest.Calls)) < 0 {
 			oldest = e
 		}
 	}
