Add a fault soak, and hold requests at nodes that have just started

A request at a node that has just started waits for the configuration, for half of its time at most. Late requests at a cold server are refused while their callers have time left, and kept if the cold ends in time; what was refused while it was cold does not count afterwards.

--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,20 @@
 LINT_VERSION := v2.15.0
-MODULES := . bench demo logd mesh node oper
+MODULES := . bench demo logd mesh node oper soak
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 RACE ?= -race
+# SEEDS is the number of seeds of make soak.
+SEEDS ?= 5
 # SEED fixes the choices of all property tests, so that a verdict does not change between runs.
 SEED ?= 20261204
 
-.PHONY: all build run test lint words format bench clean
+.PHONY: all build run test lint words format bench soak clean
 
 all: build
 
 build:
 	@mkdir -p $(BIN)
-	@for m in node oper logd demo bench; do go build -o $$(case $$m in oper) echo $(BIN)/tsctl;; *) echo $(BIN)/ts$$m;; esac) ./$$m || exit 1; done
+	@for m in node mesh oper logd demo bench soak; do go build -o $$(case $$m in oper) echo $(BIN)/tsctl;; *) echo $(BIN)/ts$$m;; esac) ./$$m || exit 1; done
 
 run:
 	@go run ./demo
@@ -27,16 +29,20 @@
 lint: $(LINT)
 	@for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
-# Names of the platform that only platform/ and deploy/ may use.
+# Names of the platform that only platform/, deploy/ and the stand-ins of the soak may use.
 PLATFORM_WORDS := Target-Instance|Response-Signature|Not-Executed|Caller-Service|Server-Load|Instance-Id|Cold-Remaining|Deadline-Ms|log-append|log-newest|log-read|keyed\.(op|servers|status)|path-prefix|traffic-split|target-latency-ms|cold-per-s
 
 words:
-	@! git grep -nE '$(PLATFORM_WORDS)' -- '*.go' ':!platform/' ':!proxy/' || \
+	@! git grep -nE '$(PLATFORM_WORDS)' -- '*.go' ':!platform/' ':!proxy/' ':!soak/' || \
 		{ echo "names of the platform outside platform/"; exit 1; }
 
 format: $(LINT)
 	@for m in $(MODULES); do (cd $$m && $(LINT) fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
+# soak plays fresh seeds, from the time of day on, against the real program.
+soak: build
+	@$(BIN)/tssoak -b $(BIN)/tsmesh -s $$(date +%s) -n $(SEEDS) -q
+
 bench:
 	@mkdir -p out
 	@go run ./bench -o out
--- a/params/side.go
+++ b/params/side.go
@@ -1,6 +1,9 @@
 package params
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Defaults of Bounds, for settings that leave them out.
 const (
@@ -37,6 +40,10 @@
 		Servers   string `json:"servers"`
 		Operators string `json:"operators"`
 		Control   string `json:"control"` // feed for other nodes
+		// CallsAt and ControlAt are the addresses at which other nodes reach the listeners for calls and control, if
+		// something stands between.
+		CallsAt   string `json:"callsAt,omitempty"`
+		ControlAt string `json:"controlAt,omitempty"`
 	}
 
 	// SideStore says how the platform's store is reached.
@@ -67,6 +74,12 @@
 	return s, s.Check()
 }
 
+// CallsAddress returns the address at which other nodes reach the listener for calls.
+func (l SideListeners) CallsAddress() string { return cmp.Or(l.CallsAt, l.Calls) }
+
+// ControlAddress returns the address at which other nodes reach the listener for control.
+func (l SideListeners) ControlAddress() string { return cmp.Or(l.ControlAt, l.Control) }
+
 // Check returns a *FieldError for the first setting that can't be used.
 func (s Side) Check() error {
 	if s.Name == "" {
@@ -83,6 +96,8 @@
 		{"listeners.servers", s.Listeners.Servers},
 		{"listeners.operators", s.Listeners.Operators},
 		{"listeners.control", s.Listeners.Control},
+		{"listeners.callsAt", s.Listeners.CallsAddress()},
+		{"listeners.controlAt", s.Listeners.ControlAddress()},
 		{"store.address", s.Store.Address},
 	} {
 		if err := checkAddress(f.field, f.value); err != nil {
--- a/sched/cold_test.go
+++ b/sched/cold_test.go
@@ -83,3 +83,32 @@
 		t.Errorf("wait behind 50 requests: %s, want the second for which starts are bounded", got)
 	}
 }
+
+// TestColdGivesUp guards that a late request is refused while its caller has time left when a cold server, although it
+// has free slots, starts others before it until its deadline.
+func TestColdGivesUp(t *testing.T) {
+	const deadline = 800 * time.Millisecond
+	c := clockwork.NewFakeClock()
+	q := queue(c, 9)
+	q.SetPace(10, c.Now().Add(time.Minute))
+	began := c.Now()
+	late, r := q.Enter(ask(c, time.Second, time.Second)) // takes the start that is free now
+	if r != nil {
+		t.Fatal(r)
+	}
+	q.Leave(late, work)
+	late, r = q.Enter(sched.Ask{AimAt: c.Now(), Deadline: c.Now().Add(deadline), Work: work})
+	if r != nil {
+		t.Fatal(r)
+	}
+	for settled(late) == "waits" && c.Since(began) < deadline {
+		if w, r := q.Enter(ask(c, time.Second, time.Second)); r == nil {
+			defer q.Withdraw(w)
+		}
+		c.Advance(20 * time.Millisecond)
+		q.SetLimit(9) // dispatches without waiting for the timer
+	}
+	if left := deadline - c.Since(began); left < deadline/3 || settled(late) != string(sched.ReasonStarved) {
+		t.Errorf("late request: %s with %s left, want it refused with %s left at least", settled(late), left, deadline/3)
+	}
+}
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -49,7 +49,9 @@
 }
 
 // endsBefore reports whether the starts are bounded now and no longer will be at a time.
-func (p *Pace) endsBefore(now, at time.Time) bool { return now.Before(p.until) && p.until.Before(at) }
+func (p *Pace) endsBefore(now, at time.Time) bool { return p.endsAfter(now) && p.until.Before(at) }
+
+func (p *Pace) endsAfter(now time.Time) bool { return now.Before(p.until) }
 
 func (p *Pace) trim(now time.Time) {
 	i := 0
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -73,6 +73,7 @@
 		wake    clockwork.Timer
 		wakes   time.Time
 		work    time.Duration // mean time of recent requests
+		cold    bool          // starts are bounded
 		missed  float64       // moving share of late requests that found no slot in time
 	}
 
@@ -150,9 +151,10 @@
 		return nil, &Refusal{Reason: ReasonClosed}
 	}
 	wait := q.expectedWait(now, &ask)
+	warms := q.pace.endsBefore(now, ask.Deadline.Add(-share(ask.Work)))
 	late := !ask.Nested && now.Add(wait+ask.Work).After(ask.AimAt)
 	switch {
-	case late && wait > 0 && q.starves() && !q.pace.endsBefore(now, ask.Deadline.Add(-share(ask.Work))):
+	case late && wait > 0 && q.starves() && !warms:
 		return nil, &Refusal{Reason: ReasonStarved, Wait: wait}
 	case now.Add(wait + share(ask.Work)).After(ask.Deadline):
 		return nil, &Refusal{Reason: ReasonLate, Wait: wait}
@@ -163,6 +165,9 @@
 		Ask: ask, done: make(chan struct{}),
 		giveUp: now.Add(time.Duration(heldShare * float64(ask.Deadline.Sub(now)))),
 	}
+	if warms {
+		w.giveUp = ask.Deadline
+	}
 	q.waiting = append(q.waiting, w)
 	q.dispatch(now)
 	return w, nil
@@ -322,14 +327,20 @@
 }
 
 func (q *Queue) expire(now time.Time) {
+	if cold := q.pace.endsAfter(now); cold != q.cold {
+		// What a cold server did not serve says nothing about the warm one.
+		q.cold, q.missed = cold, 0
+	}
 	kept := q.waiting[:0]
+	blocked := len(q.running) >= q.limit || q.pace.Wait(now, 0) > 0
 	for _, w := range q.waiting {
 		if now.Add(share(w.Work)).After(w.Deadline) {
 			q.learnLate(true)
 			w.settle(&Refusal{Reason: ReasonExpired})
 			continue
 		}
-		if !w.Nested && !w.timely(now) && len(q.running) >= q.limit && (q.starves() || now.After(w.giveUp)) {
+		hopeless := blocked && !q.pace.endsBefore(now, w.Deadline.Add(-share(w.Work)))
+		if !w.Nested && !w.timely(now) && hopeless && (q.starves() || now.After(w.giveUp)) {
 			q.learnLate(true)
 			w.settle(&Refusal{Reason: ReasonStarved, Wait: q.work})
 			continue
--- a/side/attempt_test.go
+++ b/side/attempt_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/proxy"
 	"tanagershunt.example/shunt/route"
 )
 
@@ -69,3 +71,32 @@
 		}
 	}
 }
+
+// TestStartHold guards that a request at a node that has just started waits for the configuration, and that it is
+// refused at once when the node has been without one for longer.
+func TestStartHold(t *testing.T) {
+	c := clockwork.NewRealClock()
+	send := func(started time.Time, w *World) (string, time.Duration) {
+		o := &Outbound{
+			Clock: c, Dialect: fakeDialect{}, World: w, Meter: NewMeter(), Started: started,
+			Service: func() string { return "front" }, Bounds: func() Bounds { return Bounds{} },
+		}
+		rec := httptest.NewRecorder()
+		began := c.Now()
+		o.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "http://shop.example/safe/x", http.NoBody))
+		return rec.Header().Get(proxy.HeaderReason), c.Since(began)
+	}
+	starting := NewWorld(c)
+	time.AfterFunc(50*time.Millisecond, func() {
+		starting.SetConfig(&shunt.MeshConfig{Version: 1, Routes: []shunt.MeshRoute{{
+			Name: "safe", Host: "shop.example", Prefix: "/safe/", Timeout: time.Second, MaxAttempts: 1,
+			Parts: []shunt.RoutePart{{Service: testService, Weight: 1}},
+		}}})
+	})
+	if reason, _ := send(c.Now(), starting); reason != "no server of "+testService+" is known" {
+		t.Errorf("at a starting node: %q, want the configuration to be awaited", reason)
+	}
+	if reason, took := send(c.Now().Add(-2*startHold), NewWorld(c)); took > startHold/2 || reason == "" {
+		t.Errorf("without a configuration for long: %q after %s, want it refused at once", reason, took)
+	}
+}
--- a/side/fake_test.go
+++ b/side/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -148,3 +149,11 @@
 	}
 	return shunt.Keyed{Key: key, Value: data}
 }
+
+// fakeDialect implements shunt.Dialect for requests without identifiers or deadlines.
+type fakeDialect struct{}
+
+func (fakeDialect) Caller(http.Header) shunt.CallerRequest             { return shunt.CallerRequest{} }
+func (fakeDialect) ToServer(http.Header, shunt.ServerCall)             {}
+func (fakeDialect) FromServer(int, http.Header) (a shunt.ServerAnswer) { return a }
+func (fakeDialect) Refuse(http.Header, string, time.Duration)          {}
--- a/side/outbound.go
+++ b/side/outbound.go
@@ -32,6 +32,10 @@
 	bodyMemory = 96 << 20
 	// unready is the time after which a caller may try again at a node that knows no configuration yet.
 	unready = 300 * time.Millisecond
+	// startHold is the time after a node's start in which requests wait for the configuration: reading it takes less
+	// unless the store is away. At most startHoldShare of a caller's time is spent so.
+	startHold      = time.Second
+	startHoldShare = 0.5
 	// retryShare is the part of a caller's time left up to which Retry-After may ask it to wait.
 	retryShare = 1.0 / 3
 )
@@ -50,6 +54,7 @@
 		Bounds  func() Bounds
 		Meter   *Meter
 		Lost    *lostNodes
+		Started time.Time
 
 		works   workTable
 		memory  memory
@@ -102,7 +107,7 @@
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := o.Clock.Now()
 	caller := o.Dialect.Caller(r.Header)
-	table := o.World.Table()
+	table := o.World.AwaitTable(r.Context(), o.startHold(caller.Deadline))
 	if table == nil {
 		o.refuse(w, caller.ID, http.StatusServiceUnavailable, "no configuration is known yet", unready)
 		return
@@ -142,6 +147,15 @@
 	c.serve(r.Context(), w)
 }
 
+// startHold returns the time for which a request may wait for the configuration at a node that has just started.
+func (o *Outbound) startHold(deadline time.Duration) time.Duration {
+	left := startHold - o.Clock.Since(o.Started)
+	if deadline > 0 {
+		left = min(left, time.Duration(startHoldShare*float64(deadline)))
+	}
+	return left
+}
+
 func (c *call) limits(deadline time.Duration) {
 	limit := c.route.Timeout
 	if limit <= 0 {
