Give cold servers their rate as soon as the configuration is known

Cause: after the loss of all instances a node hears of its cold server before it has read a configuration. Ruled out: processor time of nodes and free slots (requests waited 80 ms in the median while slots were free). Change: the server's pace is set again when a configuration comes into force.

--- a/mesh/main.go
+++ b/mesh/main.go
@@ -86,7 +86,7 @@
 	store := platform.NewStore(s.Store.Address, platform.Dial)
 	return side.Adapter{
 		Dialect:  platform.Dialect{},
-		Operator: platform.Operator{},
+		Operator: &platform.Operator{},
 		Store:    store,
 		Servers:  func(n *side.Node) http.Handler { return platform.ServerHandler(n) },
 		Ready:    func(n *side.Node) http.Handler { return platform.ReadyHandler(n) },
--- a/side/server.go
+++ b/side/server.go
@@ -71,6 +71,9 @@
 	s.service, s.address, s.cold = service, address, cold
 }
 
+// ConfigChanged is called when another configuration is in force, which may say that the server bears more or less.
+func (s *Server) ConfigChanged() { s.apply() }
+
 // Current returns the last report, and whether requests may be sent.
 func (s *Server) Current() (shunt.ServerReport, bool) {
 	s.mu.Lock()
--- a/side/sync.go
+++ b/side/sync.go
@@ -102,6 +102,7 @@
 		switch order.Kind {
 		case shunt.OrderConfig:
 			s.World.SetConfig(order.Config)
+			s.Server.ConfigChanged()
 		case shunt.OrderShift:
 			s.World.SetOrder(order.Shift)
 		case shunt.OrderEvacuate:
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -119,6 +119,41 @@
 	within(t, behindFor+time.Second, "configuration that another node has", func() bool { return inForce(s) == 2 })
 }
 
+// TestColdConfig guards that a cold server which reported before the node knew a configuration gets the rate that the
+// configuration allows as soon as it is in force.
+func TestColdConfig(t *testing.T) {
+	const rate = 100
+	store := newFakeStore()
+	s := testSync(t, store, "10.0.0.1:1")
+	s.Server.spec = func() shunt.ServiceSpec { return s.World.spec(testService) }
+	start(t, s)
+	cold := report("a", 1, 1)
+	cold.Cold = time.Minute
+	if err := s.Server.Heard(cold); err != nil {
+		t.Fatal(err)
+	}
+	put(t, store, order(shunt.Order{Kind: shunt.OrderConfig, Config: &shunt.MeshConfig{
+		Version: 1, Services: map[string]shunt.ServiceSpec{testService: {ColdRate: rate}},
+	}}))
+	within(t, time.Second, "configuration", func() bool { return inForce(s) == 1 })
+	time.Sleep(20 * time.Millisecond) // the server learns of it
+	const starts = 30
+	began := time.Now()
+	for range starts {
+		w, refused := s.Server.queue.Enter(sched.Ask{
+			AimAt: began.Add(time.Minute), Deadline: began.Add(time.Minute), Work: time.Millisecond,
+		})
+		if refused != nil {
+			t.Fatal(refused)
+		}
+		<-w.Done()
+		s.Server.queue.Leave(w, time.Millisecond)
+	}
+	if took := time.Since(began); took > 2*starts*time.Second/rate {
+		t.Errorf("%d starts took %s, want them at %d a second", starts, took, rate)
+	}
+}
+
 // TestTell guards that a server's leaving is stored before it is acknowledged, that an outage bounds the wait, and
 // that the entry is stored after it.
 func TestTell(t *testing.T) {
