--- a/side/follow.go
+++ b/side/follow.go
@@ -22,7 +22,7 @@
 	relayWait    = 600 * time.Millisecond
 	relayTimeout = 400 * time.Millisecond
 	// directPause is the time between two reads of the store by a node that has lost those that read for it.
-	directPause = 800 * time.Millisecond
+	directPause = 1600 * time.Millisecond
 	// behindFor is the time for which a node may know less than another before it reads anew: a read that waits
 	// in a store which came back from an outage may never be answered.
 	behindFor = 250 * time.Millisecond
