Bound the series of refusals, and remove the entries of instances that are gone

Cause: read while looking at what 21,000 nodes cost. Change: the label leaves out words that may be identifiers, addresses or numbers. Ruled out: removing an entry at a planned stop, since others need its word until the instance is gone.

--- a/side/meter.go
+++ b/side/meter.go
@@ -1,7 +1,9 @@
 package side
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,11 +32,16 @@
 	if m == nil {
 		return
 	}
-	const longest = 40 // reasons may carry addresses and errors, which are no labels
-	if len(reason) > longest {
-		reason = reason[:longest]
-	}
-	m.set.GetOrCreateCounter(`side_refusals_total{reason=` + strconv.Quote(reason) + `}`).Inc()
+	m.set.GetOrCreateCounter(`side_refusals_total{reason=` + strconv.Quote(label(reason)) + `}`).Inc()
+}
+
+// label returns a reason without what differs from request to request, of which there would be more and more series:
+// the error behind a colon, and words that may be identifiers, addresses or numbers.
+func label(reason string) string {
+	text, _, _ := strings.Cut(reason, ":")
+	words := strings.Fields(text)
+	words = slices.DeleteFunc(words, func(word string) bool { return strings.ContainsAny(word, "0123456789-") })
+	return strings.Join(words, " ")
 }
 
 func (m *Meter) count(name string) {
--- a/side/node.go
+++ b/side/node.go
@@ -139,6 +139,7 @@
 	}
 	nodes := conns.New(conns.Options{DialTimeout: peerDialTimeout, UserTimeout: peerUserTimeout})
 	n.lost = newLostNodes(c, nodes.Reach)
+	n.sync.Reach = nodes.Reach
 	n.outbound = &Outbound{
 		Clock: c, Dialect: a.Dialect, World: n.world, Inbound: n.inbound, Self: s.Listeners.CallsAddress(), Domain: s.Domain,
 		Service: func() string { return n.settings.Load().Service }, Bounds: n.bounds, Meter: n.meter,
--- a/side/peer.go
+++ b/side/peer.go
@@ -23,6 +23,7 @@
 	peerNode struct {
 		mu       sync.Mutex
 		entry    entry
+		toldAt   time.Time // when the entry was read
 		coldTill time.Time
 		report   loadReport
 		reported time.Time
@@ -48,6 +49,13 @@
 	return p.entry
 }
 
+// told returns the node's entry and when it was read.
+func (p *peerNode) told() (entry, time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entry, p.toldAt
+}
+
 func (p *peerNode) set(e entry, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -55,7 +63,7 @@
 		p.lost, p.until, p.failing = false, time.Time{}, 0
 		p.report, p.reported = loadReport{}, time.Time{}
 	}
-	p.entry = e
+	p.entry, p.toldAt = e, now
 	p.coldTill = now.Add(time.Duration(e.ColdMS) * time.Millisecond)
 }
 
--- a/side/sync.go
+++ b/side/sync.go
@@ -50,6 +50,9 @@
 	Started  int64
 	First    bool // all nodes start now: those of a failure domain should learn of each other before they read on
 
+	// Reach connects to another node.
+	Reach func(ctx context.Context, calls string) error
+
 	feed *Feed
 
 	orders, mesh atomic.Bool // whether the topics were read once
@@ -85,6 +88,7 @@
 		wg.Go(func() { f.run(ctx) })
 	}
 	wg.Go(func() { s.publishAll(ctx) })
+	wg.Go(func() { s.sweeps(ctx) })
 	wg.Wait()
 }
 
@@ -130,6 +134,7 @@
 
 func (s *Sync) applyRecord(k shunt.Keyed) error {
 	if len(k.Value) == 0 {
+		s.applyDropped(k.Key)
 		return nil
 	}
 	if name, ok := strings.CutPrefix(k.Key, keyMember); ok {
@@ -154,6 +159,18 @@
 	return nil
 }
 
+// applyDropped takes in that a record was removed. A node that was taken for gone tells of itself again.
+func (s *Sync) applyDropped(key string) {
+	name, ok := strings.CutPrefix(key, keyMember)
+	switch {
+	case !ok:
+	case name == s.Self:
+		s.Publish(false)
+	default:
+		s.World.forget(name)
+	}
+}
+
 // Publish has the node's entry stored. With urgent it returns once it is, or after urgentPublish.
 func (s *Sync) Publish(urgent bool) {
 	s.mu.Lock()
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -275,6 +276,57 @@
 	return true
 }
 
+// TestSweep guards that the entry of an instance that is gone is removed once it has told nothing for long, that one
+// which is still reached is not, and that a node whose entry was removed tells of itself again.
+func TestSweep(t *testing.T) {
+	store := newFakeStore()
+	put(t, store, config(1))
+	s := testSync(t, store, "10.0.0.1:1")
+	start(t, s)
+	within(t, time.Second, "start", s.Ready)
+	const gone, alive = "10.0.0.2:1", "10.0.0.3:1"
+	s.Reach = func(_ context.Context, calls string) error {
+		if calls == gone {
+			return errLost
+		}
+		return nil
+	}
+	for _, calls := range []string{gone, alive} {
+		data, err := json.Marshal(entry{Calls: calls, Domain: "a", Service: testService, Server: calls, Stopping: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Append(t.Context(), topicMesh, -1, shunt.Keyed{Key: keyMember + calls, Value: data}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	known := func(calls string) bool {
+		_, ok := s.World.entryOf(calls)
+		return ok
+	}
+	within(t, time.Second, "both are known", func() bool { return known(gone) && known(alive) })
+	s.sweep(t.Context())
+	time.Sleep(2 * coalesce)
+	if !known(gone) {
+		t.Fatal("an entry was removed that is not old")
+	}
+	for _, calls := range []string{gone, alive} {
+		s.World.peers[calls].toldAt = time.Now().Add(-2 * goneAfter)
+	}
+	s.sweep(t.Context())
+	within(t, time.Second, "entry of a node that is gone is removed", func() bool { return !known(gone) })
+	if !known(alive) {
+		t.Error("the entry of a node that is reached was removed")
+	}
+	if _, err := store.Append(t.Context(), topicMesh, -1, shunt.Keyed{Key: keyMember + s.Self}); err != nil {
+		t.Fatal(err)
+	}
+	within(t, time.Second, "a node whose entry was removed tells of itself again", func() bool {
+		_, ok := stored(t, store)
+		return ok
+	})
+}
+
 // TestCircle guards that nodes which follow each other, since one has told of itself and the other has not read it yet,
 // notice and return to the store.
 func TestCircle(t *testing.T) {
