End the doubt about a server by its answers, and follow a move that a node has not heard of

Ruled out: load (5 of 6 slots were free), cold servers. Change: an answer to a request that was sent before the reset, 30 ms or more after it, shows that the server has not restarted. A refusal because of the version has the request go on to the other version of the move. The soak listens again until the old listener is closed, awaits servers that it upgrades, and leaves no process behind. Tests: TestAnsweredDoubt, TestMoved; TestMoved fails with the change off.

--- a/side/attempt.go
+++ b/side/attempt.go
@@ -77,6 +77,9 @@
 		if res.outcome != shunt.AttemptNotRun || res.arrived || res.closed || !res.reached || again {
 			gone[addr] = true
 		}
+		if res.moved {
+			version, trial, focus = o.World.otherVersion(c.service, version), false, false
+		}
 		refused[addr] = max(res.wait, time.Millisecond)
 		held = held || res.held
 		best = pick(best, res)
--- a/side/attempt_test.go
+++ b/side/attempt_test.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"cmp"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -9,8 +10,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/conns"
 	"tanagershunt.example/shunt/proxy"
 	"tanagershunt.example/shunt/route"
+	"tanagershunt.example/shunt/shift"
 )
 
 func testCall(c clockwork.Clock) *call {
@@ -100,3 +103,34 @@
 		t.Errorf("without a configuration for long: %q after %s, want it refused at once", reason, took)
 	}
 }
+
+// TestMoved guards that a request whose server's version is out of service goes on to the other version of the move
+// although its node has not heard of the switch.
+func TestMoved(t *testing.T) {
+	c := clockwork.NewRealClock()
+	w := NewWorld(c)
+	serve := func(id, version string, res *inboundResult) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+			res.set(out.Header(), r.Header.Get(proxy.HeaderRequestID))
+			out.WriteHeader(cmp.Or(res.status, http.StatusServiceUnavailable))
+		}))
+		t.Cleanup(srv.Close)
+		addr := srv.Listener.Addr().String()
+		w.setEntry(entry{Calls: addr, Domain: "a", Service: testService, Server: id, Version: version, Slots: 1})
+		return addr
+	}
+	moved := shut("version v1 may not run requests")
+	moved.moved = true
+	serve("old", "v1", moved)
+	serve("new", "v2", &inboundResult{outcome: shunt.AttemptAnswered, arrived: true, status: http.StatusOK})
+	w.setMove(testService, shift.Record{Order: 1, From: "v1", Target: "v2", Phase: shift.Trial})
+	call := testCall(c)
+	call.id, call.method, call.uri, call.host, call.service = "1", http.MethodGet, "/", "x", testService
+	call.header, call.aimAt = make(http.Header), call.deadline
+	call.out.World, call.out.Pool = w, conns.New(conns.Options{})
+	call.out.Service, call.out.Bounds = func() string { return "front" }, func() Bounds { return Bounds{} }
+	call.out.Lost = newLostNodes(c, nil)
+	if res := call.run(t.Context()); res.outcome != shunt.AttemptAnswered {
+		t.Errorf("%s: %s, want an answer of the new version", res.outcome, res.reason)
+	}
+}
--- a/side/call.go
+++ b/side/call.go
@@ -27,6 +27,12 @@
 	headerArrived = "Tanager-Arrived"
 )
 
+// Values of headerServer with a refusal.
+const (
+	serverClosed = "closed"
+	serverMoved  = "moved"
+)
+
 const (
 	termFields = 4
 	loadFields = 5
@@ -71,6 +77,7 @@
 		load      *loadReport
 		known     string
 		closed    bool // the server takes no requests whatever the load is
+		moved     bool // the service's traffic goes to another version than the server's
 		held      bool // the request waited for the server before it was refused
 	}
 )
@@ -186,8 +193,11 @@
 	if r.known != "" {
 		h[proxy.HeaderConfig] = []string{r.known}
 	}
-	if r.closed {
-		h[headerServer] = []string{"closed"}
+	switch {
+	case r.moved:
+		h[headerServer] = []string{serverMoved}
+	case r.closed:
+		h[headerServer] = []string{serverClosed}
 	}
 }
 
@@ -196,8 +206,10 @@
 	r := &inboundResult{
 		reached: true, status: status, body: body, reason: h.Get(proxy.HeaderReason),
 		load: parseLoad(h.Get(proxy.HeaderLoad)), arrived: h.Get(headerArrived) != "",
-		held: h.Get(headerHeld) != "", closed: h.Get(headerServer) == "closed", known: h.Get(proxy.HeaderConfig),
+		held: h.Get(headerHeld) != "", known: h.Get(proxy.HeaderConfig),
 	}
+	r.moved = h.Get(headerServer) == serverMoved
+	r.closed = r.moved || h.Get(headerServer) == serverClosed
 	if ms, err := strconv.Atoi(h.Get(headerWait)); err == nil {
 		r.wait = time.Duration(ms) * time.Millisecond
 	}
--- a/side/inbound.go
+++ b/side/inbound.go
@@ -106,7 +106,9 @@
 	case in.World.Out(in.Domain):
 		return shut("failure domain is out")
 	case !in.World.allows(report.Service, report.Version):
-		return shut("version " + report.Version + " may not run requests")
+		res := shut("version " + report.Version + " may not run requests")
+		res.moved = true
+		return res
 	}
 	work := in.works.expected(c.route)
 	waiter, refusal := in.Queue.Enter(sched.Ask{
@@ -145,6 +147,7 @@
 	sent := in.Clock.Now()
 	res := in.send(ctx, c, body, c.left-sent.Sub(arrived))
 	if res.outcome == shunt.AttemptAnswered {
+		in.Server.Answered(sent)
 		took = in.Clock.Since(sent)
 		in.works.learn(c.route, took)
 	}
--- a/side/server.go
+++ b/side/server.go
@@ -21,6 +21,9 @@
 	doubtFor = 2 * time.Second
 	// confirmEvery is the least time between two questions to a server that is doubted.
 	confirmEvery = 300 * time.Millisecond
+	// aliveAfter is the time after a broken connection from which an answer to an earlier request shows that the server
+	// lives: one that was on its way already came before.
+	aliveAfter = 30 * time.Millisecond
 	// doubtPace bounds the requests a second to a server that may have restarted, until its next report.
 	doubtPace = 10
 	// paceMargin is the part of what a cold server may get that is used: others count arrivals, not sends.
@@ -43,6 +46,7 @@
 		report   shunt.ServerReport
 		coldTill time.Time
 		doubt    time.Time // until when the server may be another than reported
+		doubted  time.Time // when it last gave reason for that
 		asked    time.Time
 		leftAt   time.Time
 		ended    map[string]int64 // servers that have left, by identifier: when they were born
@@ -196,7 +200,7 @@
 func (s *Server) Doubt() {
 	s.mu.Lock()
 	now := s.clock.Now()
-	s.doubt = now.Add(doubtFor)
+	s.doubt, s.doubted = now.Add(doubtFor), now
 	ask := now.Sub(s.asked) >= confirmEvery
 	if ask {
 		s.asked = now
@@ -208,6 +212,21 @@
 	}
 }
 
+// Answered is called when the server has answered a request. If that was sent before a connection broke, the server
+// has not restarted since: all connections would have ended with it.
+func (s *Server) Answered(sent time.Time) {
+	s.mu.Lock()
+	now := s.clock.Now()
+	alive := s.doubt.After(now) && sent.Before(s.doubted) && now.Sub(s.doubted) >= aliveAfter
+	if alive {
+		s.doubt = time.Time{}
+	}
+	s.mu.Unlock()
+	if alive {
+		s.apply()
+	}
+}
+
 // Confirmed is called when the server has said who it is, and for how long it remains cold.
 func (s *Server) Confirmed(id string, cold time.Duration) {
 	s.mu.Lock()
@@ -224,7 +243,8 @@
 // Unreachable is called when the server refused a connection. Nothing was sent.
 func (s *Server) Unreachable() {
 	s.mu.Lock()
-	s.doubt = s.clock.Now().Add(doubtFor)
+	now := s.clock.Now()
+	s.doubt, s.doubted = now.Add(doubtFor), now
 	s.mu.Unlock()
 	s.queue.Close()
 	s.clock.AfterFunc(unreachablePause, s.apply)
--- a/side/server_test.go
+++ b/side/server_test.go
@@ -109,6 +109,50 @@
 	}
 }
 
+// TestAnsweredDoubt replays a server that breaks off some of its answers: one to a request that was sent before shows
+// that it has not restarted, and ends the bound on its pace; one to a later request, or one that was on its way
+// already, does not.
+func TestAnsweredDoubt(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		sent, after time.Duration // relative to the broken connection
+		full        bool
+	}{
+		{"sent before", -20 * time.Millisecond, 2 * aliveAfter, true},
+		{"sent later", time.Millisecond, 2 * aliveAfter, false},
+		{"on its way", -20 * time.Millisecond, aliveAfter / 2, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := clockwork.NewFakeClock()
+			s, q := testServer(c)
+			if err := s.Heard(report("a", 1, 1)); err != nil {
+				t.Fatal(err)
+			}
+			broken := c.Now()
+			s.Doubt()
+			c.Advance(test.after)
+			s.Answered(broken.Add(test.sent))
+			runs := 0
+			for range 4 {
+				w, refused := q.Enter(sched.Ask{
+					AimAt: c.Now().Add(time.Minute), Deadline: c.Now().Add(time.Minute), Work: time.Millisecond,
+				})
+				if refused != nil {
+					t.Fatal(refused)
+				}
+				select {
+				case <-w.Done():
+					runs++
+				default:
+				}
+			}
+			if full := runs == 4; full != test.full {
+				t.Errorf("%d of 4 run at once", runs)
+			}
+		})
+	}
+}
+
 // TestConfirmed guards that a server which broke a connection is asked who it is, not for each connection, and serves
 // at full rate once it has said that it is the same.
 func TestConfirmed(t *testing.T) {
--- a/side/world.go
+++ b/side/world.go
@@ -235,6 +235,22 @@
 	return v, trial, trial && focus
 }
 
+// otherVersion returns the version that serves when a node says that the given one does not: it knows of a later phase
+// of the move.
+func (w *World) otherVersion(service, version string) string {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	m := w.moves[service]
+	switch {
+	case m == nil:
+		return version
+	case version == m.Target:
+		return m.From
+	default:
+		return m.Target
+	}
+}
+
 // allows reports whether servers of a version may run a service's requests.
 func (w *World) allows(service, version string) bool {
 	w.mu.RLock()
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -36,8 +36,11 @@
 	serverCold  = 3 * time.Second
 	// faultShare is the part of its requests that a server with a fault spoils.
 	faultShare = 0.4
-	beatEvery  = 500 * time.Millisecond
-	beatWithin = time.Second
+	// listenTries, listenPause apart, are made to listen at the address of a server that has just ended.
+	listenTries = 100
+	listenPause = 10 * time.Millisecond
+	beatEvery   = 500 * time.Millisecond
+	beatWithin  = time.Second
 )
 
 type (
@@ -46,11 +49,11 @@
 	// backend is a backend server, which is replaced by a new one when it ends.
 	backend struct {
 		*instance
-		ledger  *ledger
-		version string // of its software
-		bad     bool   // its version fails
+		ledger *ledger
+		bad    bool // its version fails
 
 		mu       sync.Mutex
+		version  string // of its software
 		server   *stand.Server
 		http     *http.Server
 		born     int64
@@ -75,7 +78,7 @@
 
 // start begins a new incarnation at the same address.
 func (b *backend) start() error {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", b.at(portServer))
+	l, err := listen(b.at(portServer))
 	if err != nil {
 		return err
 	}
@@ -96,6 +99,17 @@
 	return nil
 }
 
+// listen opens a listener. One that was closed just before at the address lives until its Accept has returned.
+func listen(addr string) (l net.Listener, err error) {
+	for range listenTries {
+		if l, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp4", addr); err == nil {
+			return l, nil
+		}
+		time.Sleep(listenPause)
+	}
+	return nil, err
+}
+
 // crash ends the server at once.
 func (b *backend) crash() {
 	b.mu.Lock()
@@ -216,7 +230,7 @@
 func (b *backend) answer(s *stand.Server, w http.ResponseWriter, id string, fault serverFault) {
 	text, status := fmt.Sprintf("%s ran %s\n%s", s.ID(), id, bytes.Repeat([]byte("x"), rand.IntN(3000))), http.StatusOK
 	if fault == serverFails || b.bad && rand.Float64() < badShare {
-		b.ledger.failed(b.version)
+		b.ledger.failed(b.versionNow())
 		status = http.StatusInternalServerError
 	}
 	if fault == serverLoses {
@@ -252,6 +266,12 @@
 	time.Sleep(beatEvery)
 }
 
+func (b *backend) versionNow() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.version
+}
+
 func (b *backend) faultNow() serverFault {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -270,7 +290,7 @@
 	now := time.Now()
 	v := arrival{
 		id: id, path: r.URL.Path, body: body, caller: r.Header.Get("Caller-Service"), at: now,
-		deadline: time.Duration(ms) * time.Millisecond, service: b.service, version: b.version, calm: b.calmFor() > calmFor,
+		deadline: time.Duration(ms) * time.Millisecond, service: b.service, version: b.versionNow(), calm: b.calmFor() > calmFor,
 		touch:    b.touchFor() > calmFor,
 		sinceOut: b.outFor(),
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -164,10 +164,24 @@
 	return fmt.Sprintf("server of node-%d leaves", i), func(f *fleet) { f.instances[i].backend.replace(true, lasts) }
 }
 
+// upgrade ends the server at once and starts one of another version at its address.
+func (b *backend) upgrade(version string) {
+	b.replacing.Lock()
+	defer b.replacing.Unlock()
+	b.mu.Lock()
+	b.version = version
+	b.mu.Unlock()
+	b.follow(false, 0)
+}
+
 // replace ends the server, planned or not, and starts another one at its address.
 func (b *backend) replace(planned bool, dark time.Duration) {
 	b.replacing.Lock()
 	defer b.replacing.Unlock()
+	b.follow(planned, dark)
+}
+
+func (b *backend) follow(planned bool, dark time.Duration) {
 	if planned {
 		b.leave()
 	} else {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -179,6 +179,7 @@
 	defer out.Close()
 	cmd := exec.Command(in.fleet.binary, "--settings", path)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the soak
 	if err = cmd.Start(); err != nil {
 		return err
 	}
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -76,10 +76,11 @@
 		}
 		return
 	}
+	var wg sync.WaitGroup
 	for _, in := range old {
-		in.backend.version = version
-		go in.backend.replace(false, 0)
+		wg.Go(func() { in.backend.upgrade(version) })
 	}
+	wg.Wait()
 }
 
 // outcome waits for the end of a move, as the system states it.
