Have the stand-in of a backend server say how long it stays cold, and set the new code to the linter

Both nodes had been restarted beside a server that was still cold and had asked it who it is; the stand-in's health answer lacked the time that the platform's pages promise, so the nodes took it for warm (cold=0s in their logs, 495 ms left by the next report). Ruled out: the pace (35 a second) and its spacing; arrivals held up in links. Change: the stand-in's health answer says it. The rest is format and unused results. Conclusion: the nodes follow the pages; a platform that left the header out would break the bound for up to a heartbeat.

--- a/sched/cold_test.go
+++ b/sched/cold_test.go
@@ -109,6 +109,11 @@
 		q.SetLimit(9) // dispatches without waiting for the timer
 	}
 	if left := deadline - c.Since(began); left < deadline/3 || settled(late) != string(sched.ReasonStarved) {
-		t.Errorf("late request: %s with %s left, want it refused with %s left at least", settled(late), left, deadline/3)
+		t.Errorf(
+			"late request: %s with %s left, want it refused with %s left at least",
+			settled(late),
+			left,
+			deadline/3,
+		)
 	}
 }
--- a/side/attempt.go
+++ b/side/attempt.go
@@ -251,6 +251,9 @@
 		return res
 	}
 	return &inboundResult{
-		outcome: shunt.AttemptUnknown, arrived: true, connected: true, reason: "node " + addr + " did not answer: " + err.Error(),
+		outcome:   shunt.AttemptUnknown,
+		arrived:   true,
+		connected: true,
+		reason:    "node " + addr + " did not answer: " + err.Error(),
 	}
 }
--- a/side/attempt_test.go
+++ b/side/attempt_test.go
@@ -109,7 +109,7 @@
 func TestMoved(t *testing.T) {
 	c := clockwork.NewRealClock()
 	w := NewWorld(c)
-	serve := func(id, version string, res *inboundResult) string {
+	serve := func(id, version string, res *inboundResult) {
 		srv := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 			res.set(out.Header(), r.Header.Get(proxy.HeaderRequestID))
 			out.WriteHeader(cmp.Or(res.status, http.StatusServiceUnavailable))
@@ -117,7 +117,6 @@
 		t.Cleanup(srv.Close)
 		addr := srv.Listener.Addr().String()
 		w.setEntry(entry{Calls: addr, Domain: "a", Service: testService, Server: id, Version: version, Slots: 1})
-		return addr
 	}
 	moved := shut("version v1 may not run requests")
 	moved.moved = true
--- a/side/mover_test.go
+++ b/side/mover_test.go
@@ -42,12 +42,19 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := store.Append(t.Context(), topicMesh, -1, shunt.Keyed{Key: keyMove + testService, Value: data}); err != nil {
+			if _, err := store.Append(
+				t.Context(),
+				topicMesh,
+				-1,
+				shunt.Keyed{Key: keyMove + testService, Value: data},
+			); err != nil {
 				t.Fatal(err)
 			}
 		}
 		s.World.SetOrder(order)
-		s.World.setEntry(entry{Calls: s.Self, Service: testService, Server: "new", Version: "v2", Born: 9, Since: 9, Slots: 1})
+		s.World.setEntry(
+			entry{Calls: s.Self, Service: testService, Server: "new", Version: "v2", Born: 9, Since: 9, Slots: 1},
+		)
 		m := &Mover{
 			Clock: s.Clock, Store: store, Operator: fakeOperator{}, World: s.World, Server: s.Server, Self: s.Self,
 			Ready: func() bool { return ready }, moves: make(map[string]*judged),
@@ -65,9 +72,13 @@
 // by later ones while those of a new version already run.
 func TestBaseline(t *testing.T) {
 	w := NewWorld(clockwork.NewFakeClock())
-	s := &Sync{World: w, Self: "10.0.0.1:1", Server: NewServer(w.clock, &sched.Queue{Clock: w.clock}, func() shunt.ServiceSpec {
-		return shunt.ServiceSpec{}
-	}, testService, testAddress)}
+	s := &Sync{
+		World: w,
+		Self:  "10.0.0.1:1",
+		Server: NewServer(w.clock, &sched.Queue{Clock: w.clock}, func() shunt.ServiceSpec {
+			return shunt.ServiceSpec{}
+		}, testService, testAddress),
+	}
 	tell := func(born int64) {
 		if err := s.Server.Heard(report("old", born, 1)); err != nil {
 			t.Fatal(err)
--- a/side/node.go
+++ b/side/node.go
@@ -122,13 +122,29 @@
 	n.rpc = peer.NewServer(peer.ServerOptions{Counters: counters})
 	n.feed = newFeed(c, n.world)
 	n.sync = &Sync{
-		Peers: peers, Control: s.Listeners.ControlAddress(), Link: int(s.Link), feed: n.feed,
-		Clock: c, Store: a.Store, Operator: a.Operator, World: n.world, Server: n.server, Self: s.Listeners.CallsAddress(),
-		Domain: s.Domain, Started: c.Now().UnixNano(), First: s.FirstStart,
+		Peers:    peers,
+		Control:  s.Listeners.ControlAddress(),
+		Link:     int(s.Link),
+		feed:     n.feed,
+		Clock:    c,
+		Store:    a.Store,
+		Operator: a.Operator,
+		World:    n.world,
+		Server:   n.server,
+		Self:     s.Listeners.CallsAddress(),
+		Domain:   s.Domain,
+		Started:  c.Now().UnixNano(),
+		First:    s.FirstStart,
 	}
 	n.mover = &Mover{
-		Clock: c, Store: a.Store, Operator: a.Operator, World: n.world, Server: n.server, Self: s.Listeners.CallsAddress(),
-		Peers: peers, Ready: n.sync.Ready,
+		Clock:    c,
+		Store:    a.Store,
+		Operator: a.Operator,
+		World:    n.world,
+		Server:   n.server,
+		Self:     s.Listeners.CallsAddress(),
+		Peers:    peers,
+		Ready:    n.sync.Ready,
 	}
 	n.inbound = &Inbound{
 		Clock: c, Dialect: a.Dialect, World: n.world, Server: n.server, Queue: n.queue, Meter: n.meter,
@@ -141,9 +157,18 @@
 	n.lost = newLostNodes(c, nodes.Reach)
 	n.sync.Reach = nodes.Reach
 	n.outbound = &Outbound{
-		Clock: c, Dialect: a.Dialect, World: n.world, Inbound: n.inbound, Self: s.Listeners.CallsAddress(), Domain: s.Domain,
-		Service: func() string { return n.settings.Load().Service }, Bounds: n.bounds, Meter: n.meter,
-		Pool: nodes, Lost: n.lost, Started: c.Now(),
+		Clock:   c,
+		Dialect: a.Dialect,
+		World:   n.world,
+		Inbound: n.inbound,
+		Self:    s.Listeners.CallsAddress(),
+		Domain:  s.Domain,
+		Service: func() string { return n.settings.Load().Service },
+		Bounds:  n.bounds,
+		Meter:   n.meter,
+		Pool:    nodes,
+		Lost:    n.lost,
+		Started: c.Now(),
 	}
 	n.server.notify, n.server.ask = n.sync.Publish, n.confirm
 	n.calls = &gate{next: n.outbound}
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -296,7 +296,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := store.Append(t.Context(), topicMesh, -1, shunt.Keyed{Key: keyMember + calls, Value: data}); err != nil {
+		if _, err := store.Append(
+			t.Context(),
+			topicMesh,
+			-1,
+			shunt.Keyed{Key: keyMember + calls, Value: data},
+		); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -84,6 +84,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := stand.NewServer(fmt.Sprintf("i-%d", serverNumber.Add(1)), b.service)
+	s.SetCold(time.Now().Add(serverCold))
 	s.Misbehave(func(w http.ResponseWriter, r *http.Request) bool {
 		b.serve(s, w, r)
 		return true
@@ -289,8 +290,17 @@
 	}
 	now := time.Now()
 	v := arrival{
-		id: id, path: r.URL.Path, body: body, caller: r.Header.Get("Caller-Service"), at: now,
-		deadline: time.Duration(ms) * time.Millisecond, service: b.service, version: b.versionNow(), calm: b.calmFor() > calmFor,
+		id:     id,
+		path:   r.URL.Path,
+		body:   body,
+		caller: r.Header.Get("Caller-Service"),
+		at:     now,
+		deadline: time.Duration(
+			ms,
+		) * time.Millisecond,
+		service:  b.service,
+		version:  b.versionNow(),
+		calm:     b.calmFor() > calmFor,
 		touch:    b.touchFor() > calmFor,
 		sinceOut: b.outFor(),
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -105,7 +105,14 @@
 	c.ledger.mu.Lock()
 	defer c.ledger.mu.Unlock()
 	if due && !c.ledger.untimed {
-		c.ledger.find("configuration in force", id, "%s does not know version %d, accepted %s ago", c.to.name, version, age)
+		c.ledger.find(
+			"configuration in force",
+			id,
+			"%s does not know version %d, accepted %s ago",
+			c.to.name,
+			version,
+			age,
+		)
 	}
 	if seen >= version {
 		c.ledger.find("no older configuration", id, "%s forgot version %d", c.to.name, version)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -39,6 +40,7 @@
 	restartPause = 500 * time.Millisecond
 	// startWithin bounds the time until all nodes are ready for the first time.
 	startWithin = 20 * time.Second
+	readyWithin = time.Second // for one question
 	readyPoll   = 50 * time.Millisecond
 	firstPart   = 64 // of loopback addresses, so that soaks beside each other do not meet
 )
@@ -87,13 +89,13 @@
 		binary: binary, dir: dir, ledger: l, store: stand.NewStore(), out: make(map[string]time.Time),
 		storeCalm: time.Now(), versions: 1,
 	}
-	listen, err := net.Listen("tcp4", "127.0.0.1:0")
+	at, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	f.storeAt = listen.Addr().String()
+	f.storeAt = at.Addr().String()
 	srv := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
-	go func() { _ = srv.Serve(listen) }()
+	go func() { _ = srv.Serve(at) }()
 	f.configure()
 	for i := range nodes {
 		service := "shop"
@@ -177,7 +179,7 @@
 		return err
 	}
 	defer out.Close()
-	cmd := exec.Command(in.fleet.binary, "--settings", path)
+	cmd := exec.CommandContext(context.Background(), in.fleet.binary, "--settings", path)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the soak
 	if err = cmd.Start(); err != nil {
@@ -207,17 +209,15 @@
 }
 
 // ended waits until the process has ended, and kills it after a time.
-func (in *instance) ended(within time.Duration) bool {
+func (in *instance) ended(within time.Duration) {
 	in.mu.Lock()
 	exited := in.exited
 	in.mu.Unlock()
 	select {
 	case <-exited:
-		return true
 	case <-time.After(within):
 		in.signal(syscall.SIGKILL)
 		<-exited
-		return false
 	}
 }
 
@@ -271,8 +271,15 @@
 
 // ready reports whether the node says that it can serve.
 func (in *instance) ready() bool {
-	c := http.Client{Timeout: time.Second}
-	resp, err := c.Get("http://" + in.at(portReady) + "/tanagershunt/readiness")
+	ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(
+		ctx, http.MethodGet, "http://"+in.at(portReady)+"/tanagershunt/readiness", http.NoBody,
+	)
+	if err != nil {
+		panic(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return false
 	}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -124,7 +124,15 @@
 	a.runs++
 	switch {
 	case v.path != a.path || v.body != a.body:
-		l.find("unasked", v.id, "came as %s with %d bytes, sent as %s with %d", v.path, len(v.body), a.path, len(a.body))
+		l.find(
+			"unasked",
+			v.id,
+			"came as %s with %d bytes, sent as %s with %d",
+			v.path,
+			len(v.body),
+			a.path,
+			len(a.body),
+		)
 	case v.service != a.service:
 		l.find("route", v.id, "ran at service %s, belongs to %s", v.service, a.service)
 	case v.caller != a.caller:
--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -22,7 +22,14 @@
 // run has a request arrive at a server, after a change of what is usual.
 func (h *history) run(id string, change func(*arrival)) {
 	v := arrival{
-		id: id, path: "/safe/x", caller: "front", at: h.now, deadline: time.Second, service: "shop", calm: true, touch: true,
+		id:       id,
+		path:     "/safe/x",
+		caller:   "front",
+		at:       h.now,
+		deadline: time.Second,
+		service:  "shop",
+		calm:     true,
+		touch:    true,
 	}
 	if change != nil {
 		change(&v)
--- a/soak/main.go
+++ b/soak/main.go
@@ -34,7 +34,14 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	o := options{binary: ".bin/tsmesh", logs: os.TempDir(), seed: 1, seeds: 1, nodes: defaultNodes, lasts: defaultFaults}
+	o := options{
+		binary: ".bin/tsmesh",
+		logs:   os.TempDir(),
+		seed:   1,
+		seeds:  1,
+		nodes:  defaultNodes,
+		lasts:  defaultFaults,
+	}
 	p := flaggy.NewParser("tssoak")
 	p.Description = "randomized faults around real processes, checked from outside"
 	p.String(&o.binary, "b", "binary", "the tsmesh program")
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -137,7 +137,13 @@
 	}
 	e.hits++
 	if !e.known.IsZero() && sent.Sub(e.known) > backWithin {
-		l.find("exposure", v.id, "bad version got a request %s after it had failed %d times", sent.Sub(e.known), seenAfter)
+		l.find(
+			"exposure",
+			v.id,
+			"bad version got a request %s after it had failed %d times",
+			sent.Sub(e.known),
+			seenAfter,
+		)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,7 +14,8 @@
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "tsmesh")
-	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../mesh").CombinedOutput(); err != nil {
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../mesh").
+		CombinedOutput(); err != nil {
 		t.Fatalf("building tsmesh: %v\n%s", err, out)
 	}
 	o := options{binary: binary, logs: dir, nodes: 6, lasts: shortFaults, untimed: true}
