--- a/side/mover_test.go
+++ b/side/mover_test.go
@@ -38,18 +38,7 @@
 		order := shunt.ShiftOrder{Service: testService, Target: "v2", Within: 12 * time.Second, Offset: 7}
 		begun := shift.Begin(order, "v1", s.Clock.Now())
 		if ready {
-			data, err := json.Marshal(begun)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if _, err := store.Append(
-				t.Context(),
-				topicMesh,
-				-1,
-				shunt.Keyed{Key: keyMove + testService, Value: data},
-			); err != nil {
-				t.Fatal(err)
-			}
+			tell(t, store, keyMove+testService, begun)
 		}
 		s.World.SetOrder(order)
 		s.World.setEntry(
@@ -79,15 +68,15 @@
 			return shunt.ServiceSpec{}
 		}, testService, testAddress),
 	}
-	tell := func(born int64) {
+	heard := func(born int64) {
 		if err := s.Server.Heard(report("old", born, 1)); err != nil {
 			t.Fatal(err)
 		}
 		w.setEntry(s.entry())
 	}
-	tell(1)
+	heard(1)
 	w.setEntry(entry{Calls: "10.0.0.2:1", Service: testService, Server: "new", Version: "v2", Born: 5, Since: 5})
-	tell(9)
+	heard(9)
 	if got := w.baseline(testService); got != "v1" {
 		t.Errorf("version in service is %s, want v1", got)
 	}
--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// tell stores a record of what nodes tell one another.
+func tell(t *testing.T, store *fakeStore, key string, record any) {
+	t.Helper()
+	data, err := json.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = store.Append(t.Context(), topicMesh, -1, shunt.Keyed{Key: key, Value: data}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func config(version uint64) shunt.Keyed {
 	return order(shunt.Order{Kind: shunt.OrderConfig, Config: &shunt.MeshConfig{Version: version}})
 }
@@ -292,18 +304,7 @@
 		return nil
 	}
 	for _, calls := range []string{gone, alive} {
-		data, err := json.Marshal(entry{Calls: calls, Domain: "a", Service: testService, Server: calls, Stopping: true})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := store.Append(
-			t.Context(),
-			topicMesh,
-			-1,
-			shunt.Keyed{Key: keyMember + calls, Value: data},
-		); err != nil {
-			t.Fatal(err)
-		}
+		tell(t, store, keyMember+calls, entry{Calls: calls, Domain: "a", Service: testService, Server: calls, Stopping: true})
 	}
 	known := func(calls string) bool {
 		_, ok := s.World.entryOf(calls)
