--- a/side/sync_test.go
+++ b/side/sync_test.go
@@ -304,7 +304,12 @@
 		return nil
 	}
 	for _, calls := range []string{gone, alive} {
-		tell(t, store, keyMember+calls, entry{Calls: calls, Domain: "a", Service: testService, Server: calls, Stopping: true})
+		tell(
+			t,
+			store,
+			keyMember+calls,
+			entry{Calls: calls, Domain: "a", Service: testService, Server: calls, Stopping: true},
+		)
 	}
 	known := func(calls string) bool {
 		_, ok := s.World.entryOf(calls)
