--- a/conns/conn.go
+++ b/conns/conn.go
@@ -5,13 +5,18 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-const readBufferBytes = 4 << 10
+const (
+	readBufferBytes = 4 << 10
+	// maxFailedIDs is the number of requests that may be refused or fail on a connection. After that it is closed.
+	maxFailedIDs = 16
+)
 
 // errResponseTooLarge means that a response exceeds the request's limit.
 var errResponseTooLarge = errors.New("answer exceeds the size limit")
@@ -26,6 +31,7 @@
 		idleSince time.Time
 		keepAlive time.Duration // idle time after which the peer may close the connection, 0 if unknown
 		reused    bool
+		failedIDs []string // identifiers of the requests that were refused or failed on this connection
 	}
 
 	// limitedReader returns an error after the remaining number of bytes was read.
@@ -52,6 +58,16 @@
 	return n, err
 }
 
+// recordFailure records the request if its status says that it was refused or failed. It reports false if the connection
+// has recorded as many as it can.
+func (c *conn) recordFailure(id string, status int) bool {
+	if id == "" || status < http.StatusBadRequest {
+		return true
+	}
+	c.failedIDs = append(c.failedIDs, id)
+	return len(c.failedIDs) < maxFailedIDs
+}
+
 // healthy reports whether an idle connection is still open and has no unread data.
 func (c *conn) healthy() bool {
 	if c.reader.Buffered() > 0 {
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -56,14 +57,14 @@
 	return defaultMaxIdle
 }
 
-// get returns an idle connection that was idle for no longer than maxIdle, or a new one. A
-// maxIdle above the pool's MaxIdle is reduced to it; 0 selects it.
-func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration) (*conn, error) {
+// get returns an idle connection that was idle for no longer than maxIdle and on which no request with the identifier has
+// failed, or a new one. A maxIdle above the pool's MaxIdle is reduced to it; 0 selects it.
+func (p *Pool) get(ctx context.Context, addr string, maxIdle time.Duration, id string) (*conn, error) {
 	if maxIdle <= 0 || maxIdle > p.maxIdle() {
 		maxIdle = p.maxIdle()
 	}
 	for {
-		c := p.takeIdle(addr)
+		c := p.takeIdle(addr, id)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -75,16 +76,20 @@
 	}
 }
 
-func (p *Pool) takeIdle(addr string) *conn {
+// takeIdle removes the newest idle connection on which no request with the identifier has failed.
+func (p *Pool) takeIdle(addr, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if id != "" && slices.Contains(c.failedIDs, id) {
+			continue
+		}
+		p.idle[addr] = slices.Delete(list, i, i+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
