Leave out odd records alone, bound body memory by the node's limit, and fix two faults on record

Cause: any client of the store can write records. A mesh entry was taken as it came: a start of -1 put its version in service, so that all servers refused; port, address, slots and cold time had no range; a version with a line break went into a header. In pages of the store one invalid item hid the others, a page could repeat for ever, a record cut short at the head of a read came again for ever, a long response was cut silently. Numbers such as 1e300 became durations by a conversion that differs between x86-64 and arm64. Bodies without a length reserved no memory, and a body on the listener for other nodes was allocated by its announced length. counterReporter sent counters without a lock. StateSync.publish reported an entry as stored when a second change was published while the store failed. Change: each record is decoded and checked in one place (meshd/record.go, platform) with named ranges; an invalid one is skipped with a bounded log line and the counter side_records_skipped_total; versions whose nodes were never reached come last in the choice of the version in service; bodies take memory from one budget, a quarter of the node's memory.

--- a/agent/counts.go
+++ b/agent/counts.go
@@ -38,7 +38,8 @@
 		collector *count.Collector
 		recovered bool // the collector has read the counts stream
 
-		reportedTo string // control address of the collector that has received all counters up to cursor
+		sending    sync.Mutex // held while counters are sent, by run or by close
+		reportedTo string     // control address of the collector that has received all counters up to cursor
 		cursor     uint64
 	}
 
@@ -171,7 +172,10 @@
 	return r.collector, nil
 }
 
+// send sends the counters that have changed since the last call. Close may call it while run does.
 func (r *counterReporter) send(ctx context.Context, last bool) error {
+	r.sending.Lock()
+	defer r.sending.Unlock()
 	self := r.table.Self()
 	holder, ok := r.collectorOf(self.Domain)
 	if !ok {
--- a/conns/response.go
+++ b/conns/response.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"tanagershunt.example/shunt/quota"
 )
 
 const (
@@ -22,9 +24,6 @@
 	headTimeout = time.Second
 	// framingAllowance is added to Request.Limit for the sizes of chunks and the trailer.
 	framingAllowance = 64 << 10
-	// firstBodyBytes is the memory that is allocated for a body before more of it has been received, whatever length it
-	// announces.
-	firstBodyBytes = 16 << 10
 )
 
 // protocolPrefix begins each response.
@@ -84,47 +83,13 @@
 
 // readBody reads a body to its end. Memory is taken from the request's share as the body arrives.
 func (e *exchange) readBody(r *Request, resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > r.Limit {
-		return nil, errResponseTooLarge
-	}
 	r.Share.BeginRead(func() { e.c.Close() })
 	defer r.Share.EndRead()
-	size := int64(firstBodyBytes)
-	if resp.ContentLength >= 0 {
-		size = min(size, resp.ContentLength)
-	}
-	if err := r.Share.Grow(size); err != nil {
-		return nil, err
-	}
-	for body := make([]byte, 0, size); ; {
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		case int64(len(body)) > r.Limit:
-			return nil, errResponseTooLarge
-		case len(body) < cap(body):
-			continue
-		}
-		if int64(len(body)) == resp.ContentLength {
-			// The next read returns io.EOF and needs no memory in the body.
-			if _, err := resp.Body.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
-				return nil, fmt.Errorf("body is longer than its length: %w", err)
-			}
-			return body, nil
-		}
-		grown := 2*cap(body) + 1
-		if resp.ContentLength >= 0 {
-			grown = int(min(int64(grown), resp.ContentLength))
-		}
-		if err := r.Share.Grow(int64(grown - cap(body))); err != nil {
-			return nil, err
-		}
-		body = append(make([]byte, 0, grown), body...)
+	length := resp.ContentLength
+	if r.Method == http.MethodHead {
+		length = -1 // announces a body that does not follow
 	}
+	return quota.ReadAll(resp.Body, r.Share, length, r.Limit)
 }
 
 // readHead reads the status line and the headers of a response. It waits for the first byte without a limit of its own,
--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -195,7 +195,7 @@
 	entry := node.currentEntry()
 	req := &inboundCall{
 		method: c.method, uri: c.uri, host: c.host, header: c.header, id: c.id, route: c.route.Name,
-		body: func() ([]byte, error) { return c.body, nil }, server: entry.Server, caller: o.Service(),
+		body: func() ([]byte, error) { return c.body, nil }, share: c.share, server: entry.Server, caller: o.Service(),
 		timeout: c.deadline.Sub(now),
 		terms: terms{
 			repeatable: c.route.Repeatable, priority: c.route.Priority, latencyTarget: c.latencyTargetAt.Sub(now),
@@ -244,6 +244,7 @@
 	req.writeHeaders(header)
 	resp, err := c.outbound.Pool.Do(ctx, addr, &conns.Request{
 		Method: c.method, URI: c.uri, Host: c.host, Header: header, Body: c.body, Limit: maxResponseBytes,
+		Share:  c.share,
 		Expect: len(c.body) >= expectContinueBytes || len(c.body) > 0 && !c.route.Repeatable,
 		Own:    func(_ int, header http.Header) bool { return header.Get(proxy.HeaderRequestID) == c.id },
 	})
--- a/meshd/call.go
+++ b/meshd/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/proxy"
+	"tanagershunt.example/shunt/quota"
 )
 
 // Headers between nodes, in addition to those of package proxy.
@@ -46,6 +48,7 @@
 		method, uri, host string
 		header            http.Header // from the caller, without hop-by-hop headers
 		body              func() ([]byte, error)
+		share             *quota.Share // memory of the request and its response
 		id                string
 		route             string
 		server            string
@@ -102,22 +105,31 @@
 	if err != nil {
 		return terms{}, errInvalidTerms
 	}
-	latencyTarget, err := strconv.ParseInt(parts[2], 10, 64)
+	latencyTarget, err := parseMillis(parts[2])
 	if err != nil {
-		return terms{}, errInvalidTerms
+		return terms{}, err
 	}
-	maxWait, err := strconv.ParseInt(parts[3], 10, 64)
-	if err != nil {
+	maxWait, err := parseMillis(parts[3])
+	if err != nil || maxWait < 0 || priority < 0 {
 		return terms{}, errInvalidTerms
 	}
 	return terms{
 		repeatable:    parts[0] == "r",
 		priority:      priority,
-		latencyTarget: time.Duration(latencyTarget) * time.Millisecond,
-		maxWait:       time.Duration(maxWait) * time.Millisecond,
+		latencyTarget: latencyTarget,
+		maxWait:       maxWait,
 	}, nil
 }
 
+// parseMillis returns a number of milliseconds that fits in 32 bits, about 24 days.
+func parseMillis(text string) (time.Duration, error) {
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil {
+		return 0, errInvalidTerms
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
 func (l loadReport) format() string {
 	return strings.Join([]string{
 		strconv.Itoa(l.running), strconv.Itoa(l.limit), strconv.Itoa(l.queued),
@@ -133,7 +145,7 @@
 	var n [loadFieldCount]int
 	for i, p := range parts {
 		v, err := strconv.Atoi(p)
-		if err != nil {
+		if err != nil || v < 0 || v > math.MaxInt32 {
 			return nil
 		}
 		n[i] = v
@@ -161,15 +173,15 @@
 	if err != nil {
 		return nil, err
 	}
-	timeout, err := strconv.ParseInt(r.Header.Get(proxy.HeaderTimeout), 10, 64)
+	timeout, err := parseMillis(r.Header.Get(proxy.HeaderTimeout))
 	if err != nil {
-		return nil, errInvalidTerms
+		return nil, err
 	}
 	return &inboundCall{
 		method: r.Method, uri: r.RequestURI, host: r.Host, header: proxy.EndToEndHeaders(r.Header),
 		id: r.Header.Get(proxy.HeaderRequestID), route: r.Header.Get(proxy.HeaderRoute),
 		server: r.Header.Get(headerServer), caller: r.Header.Get(headerCaller),
-		timeout: time.Duration(timeout) * time.Millisecond, terms: t, position: r.Header.Get(proxy.HeaderConfigOffset),
+		timeout: timeout, terms: t, position: r.Header.Get(proxy.HeaderConfigOffset),
 	}, nil
 }
 
@@ -212,8 +224,8 @@
 	}
 	r.versionMoved = h.Get(headerServer) == movedValue
 	r.serverClosed = r.versionMoved || h.Get(headerServer) == closedValue
-	if ms, err := strconv.Atoi(h.Get(headerWait)); err == nil {
-		r.wait = time.Duration(ms) * time.Millisecond
+	if wait, err := parseMillis(h.Get(headerWait)); err == nil && wait > 0 {
+		r.wait = wait
 	}
 	switch h.Get(proxy.HeaderOutcome) {
 	case shunt.AttemptAnswered.String():
--- a/meshd/follow.go
+++ b/meshd/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -175,6 +176,9 @@
 	if err != nil {
 		return err
 	}
+	if reply.Next < 0 || reply.Next > maxOffset || !reply.Whole && reply.Next < f.nextOffset || reply.Hops < 1 {
+		return fmt.Errorf("feed continues at offset %d after %d hops", reply.Next, reply.Hops)
+	}
 	f.applyRead(records, reply.Next, reply.Whole, reply.Hops)
 	now := f.sync.Clock.Now()
 	switch {
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -14,12 +14,11 @@
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/conns"
 	"tanagershunt.example/shunt/proxy"
+	"tanagershunt.example/shunt/quota"
 	"tanagershunt.example/shunt/sched"
 )
 
 const (
-	// maxResponseBytes bounds a server's response, which is held in memory.
-	maxResponseBytes = 32 << 20
 	// responseMargin is subtracted from the server's deadline so that the server's own timeout response can still be
 	// delivered.
 	responseMargin = 10 * time.Millisecond
@@ -41,6 +40,7 @@
 		Queue          *sched.Queue
 		Pool           *conns.Pool // connections to the server
 		Meter          *Meter
+		Bodies         *quota.Budget // memory for requests of other nodes and their responses
 		Domain         string
 		RecordResponse func(route string, failed bool, latency time.Duration) // records outcomes at the server during a move
 
@@ -56,7 +56,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	c.body = func() ([]byte, error) { return readBody(r) }
+	c.share = in.Bodies.Open()
+	defer c.share.Release()
+	c.body = func() ([]byte, error) { return readBody(w, r, c.share) }
 	in.View.observePosition(c.position)
 	res := in.admit(r.Context(), c)
 	res.position = in.View.formatPosition()
@@ -171,6 +173,7 @@
 	})
 	req := &conns.Request{
 		Method: c.method, URI: c.uri, Host: c.host, Header: h, Body: body, Limit: maxResponseBytes,
+		ID: c.id, Share: c.share,
 		Own: func(status int, h http.Header) bool { return in.Codec.ParseServerResponse(status, h).ID == c.id },
 	}
 	if !c.terms.repeatable {
--- a/meshd/meter.go
+++ b/meshd/meter.go
@@ -44,9 +44,11 @@
 	return strings.Join(words, " ")
 }
 
-func (m *Meter) increment(name string) {
-	if m == nil {
+func (m *Meter) increment(name string) { m.add(name, 1) }
+
+func (m *Meter) add(name string, n int) {
+	if m == nil || n == 0 {
 		return
 	}
-	m.set.GetOrCreateCounter(name).Inc()
+	m.set.GetOrCreateCounter(name).Add(n)
 }
--- a/meshd/node.go
+++ b/meshd/node.go
@@ -51,6 +51,8 @@
 	serverDialTimeout = 400 * time.Millisecond
 	// identifyTimeout bounds the health request that identifies the server.
 	identifyTimeout = 500 * time.Millisecond
+	// maxHealthBytes bounds the body of a health response, which is not used.
+	maxHealthBytes = 64 << 10
 	// readyPollInterval is how often a starting node checks whether it has read the mesh topic and a configuration.
 	readyPollInterval = 20 * time.Millisecond
 )
@@ -135,6 +137,7 @@
 		Server:     n.server,
 		Self:       s.Listeners.CallsAddress(),
 		Domain:     s.Domain,
+		Meter:      n.meter,
 		StartedAt:  c.Now().UnixNano(),
 		FirstStart: s.FirstStart,
 	}
@@ -148,8 +151,9 @@
 		Peers:    peers,
 		Ready:    n.sync.Ready,
 	}
+	bodies := newBodyBudget(s.Memory)
 	n.inbound = &Inbound{
-		Clock: c, Codec: a.Codec, View: n.view, Server: n.server, Queue: n.queue, Meter: n.meter,
+		Bodies: bodies, Clock: c, Codec: a.Codec, View: n.view, Server: n.server, Queue: n.queue, Meter: n.meter,
 		Domain: s.Domain, RecordResponse: n.mover.RecordResponse,
 		Pool: conns.New(conns.Options{
 			DialTimeout: serverDialTimeout, Opened: func() { n.meter.increment("side_server_connections_total") },
@@ -171,6 +175,7 @@
 		Pool:        nodes,
 		Reconnector: n.reconnector,
 		StartedAt:   c.Now(),
+		Bodies:      bodies,
 	}
 	n.server.notify, n.server.confirm = n.sync.Publish, n.confirmServer
 	n.callerHandler = &drainHandler{next: n.outbound}
@@ -300,7 +305,9 @@
 		return shunt.ServerResponse{}, errNoHealthPath
 	}
 	resp, err := n.inbound.Pool.Do(ctx, s.Server, &conns.Request{
-		Method: http.MethodGet, URI: path, Host: s.Server, Header: http.Header{}, Limit: maxResponseBytes,
+		Method: http.MethodGet, URI: path, Host: s.Server, Header: http.Header{}, Limit: maxHealthBytes,
+		// A response to an earlier request, which a faulty server may send late, has an identifier.
+		Own: func(status int, h http.Header) bool { return n.adapter.Codec.ParseServerResponse(status, h).ID == "" },
 	})
 	if err != nil {
 		return shunt.ServerResponse{}, err
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -17,6 +17,7 @@
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/conns"
 	"tanagershunt.example/shunt/proxy"
+	"tanagershunt.example/shunt/quota"
 	"tanagershunt.example/shunt/retry"
 	"tanagershunt.example/shunt/route"
 )
@@ -24,13 +25,9 @@
 const (
 	// defaultTimeout applies when neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
-	// maxBodyBytes bounds a request body regardless of the configuration, since it is held in memory.
-	maxBodyBytes = 64 << 20
 	// maxDiscardBytes is how much of an oversized body is read before the refusal is sent.
 	maxDiscardBytes = 4 << 20
-	// maxBodyMemory bounds the total size of the request bodies with a Content-Length that are held at a time.
-	maxBodyMemory = 96 << 20
-	// notReadyRetryAfter is the Retry-After of a node that has no configuration yet or has reached maxBodyMemory.
+	// notReadyRetryAfter is the Retry-After of a node that has no configuration yet or no memory for a body.
 	notReadyRetryAfter = 300 * time.Millisecond
 	// startupWait is the time after the start of a node during which requests wait for the configuration. Reading it
 	// takes less unless the store is unavailable. At most startupWaitShare of the caller's deadline is spent waiting.
@@ -55,9 +52,9 @@
 		Meter       *Meter
 		Reconnector *reconnector
 		StartedAt   time.Time
+		Bodies      *quota.Budget // memory for requests of callers and their responses
 
 		stats   routeStatsTable
-		memory  memoryLimiter
 		budgets retryBudgets
 	}
 
@@ -78,6 +75,7 @@
 		host            string
 		header          http.Header
 		body            []byte
+		share           *quota.Share // memory of the request and its response
 		route           *route.Entry
 		configVersion   uint64
 		service         string
@@ -90,12 +88,6 @@
 		mayHaveRun      bool // a server may have run the request
 	}
 
-	// memoryLimiter bounds the memory used by request bodies. Bodies without a Content-Length reserve none.
-	memoryLimiter struct {
-		mu   sync.Mutex
-		used int64
-	}
-
 	// retryBudgets holds the retry budget of each service.
 	retryBudgets struct {
 		mu       sync.Mutex
@@ -125,20 +117,16 @@
 		o.refuseTooLarge(w, r, caller.ID)
 		return
 	}
-	release, ok := o.memory.acquire(max(r.ContentLength, 0))
-	if !ok {
-		o.refuse(w, caller.ID, http.StatusServiceUnavailable, "too much is held for bodies", notReadyRetryAfter)
-		return
-	}
-	defer release()
+	share := o.Bodies.Open()
+	defer share.Release()
 	r.Body = http.MaxBytesReader(w, r.Body, limit)
-	body, err := readBody(r)
+	body, err := readBody(w, r, share)
 	if err != nil {
 		o.refuseUnreadable(w, caller.ID, err)
 		return
 	}
 	c := &call{
-		outbound: o, id: caller.ID, method: r.Method, uri: r.RequestURI, host: r.Host, body: body, route: entry,
+		outbound: o, id: caller.ID, method: r.Method, uri: r.RequestURI, host: r.Host, body: body, share: share, route: entry,
 		header: proxy.EndToEndHeaders(r.Header), configVersion: table.Config().Version, service: entry.NextService(),
 		arrived: arrived,
 	}
@@ -257,6 +245,11 @@
 		o.refuse(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
 		return
 	}
+	if errors.Is(err, quota.ErrExhausted) {
+		w.Header()["Connection"] = []string{"close"}
+		o.refuse(w, id, http.StatusServiceUnavailable, err.Error(), notReadyRetryAfter)
+		return
+	}
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		panic(http.ErrAbortHandler)
 	}
@@ -264,20 +257,6 @@
 	o.refuse(w, id, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
 }
 
-func (m *memoryLimiter) acquire(n int64) (release func(), ok bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.used+n > maxBodyMemory {
-		return nil, false
-	}
-	m.used += n
-	return func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.used -= n
-	}, true
-}
-
 // forService returns the retry budget of a service, with this node's share of the bounds for the whole mesh.
 func (b *retryBudgets) forService(
 	service string,
--- a/meshd/peer.go
+++ b/meshd/peer.go
@@ -31,6 +31,7 @@
 		pending     map[int]time.Time // start times of this node's requests without a response
 		lastRequest int
 		failureRate float64   // moving share of attempts that failed at the server
+		reached     bool      // an attempt or a connection has succeeded
 		unreachable bool      // the last attempt got no response, see call.attempt for the exceptions
 		pausedUntil time.Time // no requests are sent before
 		coldSends   []time.Time
@@ -57,6 +58,14 @@
 	return p.entry, p.entryAt
 }
 
+// entryAndExistence returns the node's entry, and whether the node may exist: it has been reached, or no attempt has
+// shown it as unreachable.
+func (p *peerNode) entryAndExistence() (nodeEntry, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entry, p.reached || !p.unreachable
+}
+
 func (p *peerNode) update(e nodeEntry, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -80,7 +89,7 @@
 func (p *peerNode) markReachable() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unreachable = false
+	p.unreachable, p.reached = false, true
 }
 
 // candidate returns the input of package place. It reports false while the node is unreachable or paused.
@@ -157,7 +166,7 @@
 		p.unreachable = true
 		return becameUnreachable
 	}
-	p.unreachable = false
+	p.unreachable, p.reached = false, true
 	if !countOutcome {
 		return false
 	}
--- a/meshd/routestats.go
+++ b/meshd/routestats.go
@@ -1,8 +1,6 @@
 package meshd
 
 import (
-	"io"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -105,15 +103,3 @@
 	}
 	return 0
 }
-
-func readBody(r *http.Request) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	return io.ReadAll(r.Body)
-}
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -15,7 +14,6 @@
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/peer"
-	"tanagershunt.example/shunt/shift"
 )
 
 const (
@@ -48,6 +46,7 @@
 	Control   string     // address of this node's feed
 	Link      int        // megabits per second
 	Domain    string
+	Meter     *Meter
 	StartedAt int64
 	// FirstStart is set if the mesh starts for the first time. The nodes then read each other's entries before they read
 	// the operator's topic, so that only one per failure domain reads that topic from the store.
@@ -64,7 +63,8 @@
 	feedBackoffs    map[string]feedBackoff // by address of the failed feed
 	stopping        bool
 	publishRequests chan struct{}
-	entryStored     chan struct{} // closed once the current entry is stored
+	entryStored     chan struct{}   // closed once the current entry is stored
+	unstored        []chan struct{} // those of earlier entries that could not be stored, closed together with it
 }
 
 // Run follows the store until ctx ends.
@@ -100,12 +100,11 @@
 
 func (s *StateSync) applyOrders(records []shunt.KeyedRecord, whole bool) {
 	evacuated := make(map[string]bool)
+	var skipped skippedRecords
 	for _, k := range records {
 		order, err := s.Operator.Decode(k)
 		if err != nil {
-			log.WithError(err).
-				WithFields(log.Fields{"key": k.Key, "offset": k.Offset}).
-				Warn("cannot decode operator record")
+			skipped.add(k, err)
 			continue
 		}
 		switch order.Kind {
@@ -119,6 +118,7 @@
 		case shunt.RecordOther:
 		}
 	}
+	skipped.report(s.Operator.RecordTopic(), s.Meter)
 	if whole {
 		s.View.replaceEvacuated(evacuated)
 		return
@@ -129,14 +129,14 @@
 }
 
 func (s *StateSync) applyMesh(records []shunt.KeyedRecord, _ bool) {
+	var skipped skippedRecords
 	for _, k := range records {
 		s.View.advanceMeshOffset(k.Offset)
 		if err := s.applyRecord(k); err != nil {
-			log.WithError(err).
-				WithFields(log.Fields{"key": k.Key, "offset": k.Offset}).
-				Warn("cannot decode mesh record")
+			skipped.add(k, err)
 		}
 	}
+	skipped.report(topicMesh, s.Meter)
 }
 
 func (s *StateSync) applyRecord(k shunt.KeyedRecord) error {
@@ -145,19 +145,16 @@
 		return nil
 	}
 	if name, ok := strings.CutPrefix(k.Key, nodeKeyPrefix); ok {
-		var e nodeEntry
-		if err := json.Unmarshal(k.Value, &e); err != nil {
+		e, err := decodeEntry(name, k.Value, s.View.clock.Now())
+		if err != nil {
 			return err
 		}
-		if e.Calls != name {
-			return errors.New("entry is stored under another address")
-		}
 		s.View.setEntry(e)
 		return nil
 	}
 	if service, ok := strings.CutPrefix(k.Key, moveKeyPrefix); ok {
-		var r shift.Record
-		if err := json.Unmarshal(k.Value, &r); err != nil {
+		r, err := decodeMove(service, k.Value)
+		if err != nil {
 			return err
 		}
 		s.View.setMove(service, r)
@@ -264,25 +261,22 @@
 	s.awaitMeshTopic(ctx)
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		stored := s.entryStored
-		s.entryStored = nil
+		if s.entryStored != nil {
+			s.unstored = append(s.unstored, s.entryStored)
+			s.entryStored = nil
+		}
+		waiting := s.unstored
 		s.mu.Unlock()
 		e := s.ownEntry()
 		s.View.setEntry(e)
 		err := s.storeEntry(ctx, e)
 		if err == nil {
-			if stored != nil {
+			s.unstored = nil
+			for _, stored := range waiting {
 				close(stored)
 			}
 			return
 		}
-		s.mu.Lock()
-		if s.entryStored == nil {
-			s.entryStored = stored
-		} else if stored != nil {
-			close(stored)
-		}
-		s.mu.Unlock()
 		if backoff == publishBackoff {
 			log.WithError(err).WithField("server", e.Server).Warn("cannot store node entry; retrying")
 		}
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -20,25 +20,6 @@
 )
 
 type (
-	// nodeEntry is the state that a node publishes about itself and its backend server, as a record of the mesh topic.
-	nodeEntry struct {
-		Calls    string `json:"calls"`   // address of the node for requests of other nodes, identifies the entry
-		Control  string `json:"control"` // address of the node's feed
-		Link     int    `json:"link"`    // bandwidth of the node's link, megabits per second
-		Domain   string `json:"domain"`
-		Service  string `json:"service"`
-		Server   string `json:"server"` // identifier
-		Born     int64  `json:"born"`
-		Sequence int64  `json:"seq"`
-		Version  string `json:"version"`
-		Since    int64  `json:"since"` // start of the first server of this version here, milliseconds since the epoch
-		Slots    int    `json:"slots"`
-		Leaving  bool   `json:"leaving,omitempty"`
-		ColdMS   int64  `json:"coldMs,omitempty"`
-		Started  int64  `json:"started"` // start of the node, nanoseconds since the epoch
-		Stopping bool   `json:"stopping,omitempty"`
-	}
-
 	// MeshView is a node's view of the mesh. Its methods are safe for concurrent use. While its lock is held, no other
 	// lock of this package is taken except those of peers.
 	MeshView struct {
@@ -204,21 +185,38 @@
 }
 
 // baselineVersion returns the version that serves when there is no move: the one that was deployed first. A server that
-// replaced another of the same version counts from the start of the earlier one. The caller must hold the lock.
+// replaced another of the same version counts from the start of the earlier one. Versions of which no node has ever been
+// reached come last, so that the entry of a node that does not exist cannot take a service out of use. The caller must
+// hold the lock.
 func (v *MeshView) baselineVersion(service string) string {
 	var oldest nodeEntry
+	var oldestExists bool
 	for _, p := range v.peers {
-		e := p.currentEntry()
+		e, exists := p.entryAndExistence()
 		if e.Service != service || e.Version == "" {
 			continue
 		}
-		if oldest.Version == "" || cmp.Or(cmp.Compare(e.Since, oldest.Since), cmp.Compare(e.Calls, oldest.Calls)) < 0 {
-			oldest = e
+		order := cmp.Or(compareStarts(e.Since, oldest.Since), cmp.Compare(e.Calls, oldest.Calls))
+		if oldest.Version == "" || exists && !oldestExists || exists == oldestExists && order < 0 {
+			oldest, oldestExists = e, exists
 		}
 	}
 	return oldest.Version
 }
 
+// compareStarts compares two start times. An unknown one, 0, comes last.
+func compareStarts(a, b int64) int {
+	switch {
+	case a == b:
+		return 0
+	case a == 0:
+		return 1
+	case b == 0:
+		return -1
+	}
+	return cmp.Compare(a, b)
+}
+
 // selectVersion returns the version for a request to a service, whether it is a version on trial, and whether the trial
 // is limited to a single server. The draw is uniform in [0, 1), and share is the share of the requests that a version
 // on trial receives outside its load tests, which are periods in which a larger share is sent to a single server (see
--- a/quota/budget.go
+++ b/quota/budget.go
@@ -1,4 +1,4 @@
-// Package quota bounds the memory held by messages whose size is not known in advance. It does no I/O.
+// Package quota bounds the memory held by messages whose size is not known in advance.
 package quota
 
 import (
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -82,6 +82,9 @@
 // Ended reports whether the phase is final.
 func (p Phase) Ended() bool { return p == Complete || p == RolledBack }
 
+// Valid reports whether p is one of the phases.
+func (p Phase) Valid() bool { return p == Trial || p == Switch || p.Ended() }
+
 // Next returns the phase that follows from the observations, and the reason if it differs from the current one.
 func (r *Record) Next(f Observations) (Phase, string) {
 	bad := f.Verdict == canary.Bad ||
