--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -126,9 +126,18 @@
 		return
 	}
 	c := &call{
-		outbound: o, id: caller.ID, method: r.Method, uri: r.RequestURI, host: r.Host, body: body, share: share, route: entry,
-		header: proxy.EndToEndHeaders(r.Header), configVersion: table.Config().Version, service: entry.NextService(),
-		arrived: arrived,
+		outbound:      o,
+		id:            caller.ID,
+		method:        r.Method,
+		uri:           r.RequestURI,
+		host:          r.Host,
+		body:          body,
+		share:         share,
+		route:         entry,
+		header:        proxy.EndToEndHeaders(r.Header),
+		configVersion: table.Config().Version,
+		service:       entry.NextService(),
+		arrived:       arrived,
 	}
 	delete(c.header, "Expect")
 	c.setDeadlines(caller.Deadline)
--- a/meshd/record_test.go
+++ b/meshd/record_test.go
@@ -41,37 +41,52 @@
 		}
 	}
 	return map[string]shunt.KeyedRecord{
-		"deeply nested":          {Key: nodeKeyPrefix + other, Value: []byte(strings.Repeat(`{"calls":`, 10_000))},
-		"nested and closed":      object(other, `,"x":`+strings.Repeat("[", 7000)+strings.Repeat("]", 7000)),
-		"too large":              object(other, `,"x":"`+strings.Repeat("x", maxMeshRecordBytes)+`"`),
-		"number too large":       object(other, `,"slots":100000000000000000000`),
-		"exponent":               object(other, `,"seq":1e300`),
-		"fraction":               object(other, `,"slots":2.5`),
-		"negative start":         object(other, `,"since":-1`),
-		"start in the future":    object(other, `,"since":9223372036854775807`),
-		"many slots":             object(other, `,"slots":9223372036854775807`),
-		"long cold start":        object(other, `,"coldMs":9223372036854775807`),
-		"port out of range":      object("10.0.0.9:70000", ""),
-		"port zero":              object("10.0.0.9:0", ""),
-		"no port":                object("10.0.0.9", ""),
-		"empty address":          object("", ""),
-		"any address":            object("0.0.0.0:1", ""),
-		"name":                   object("localhost:1", ""),
-		"feed out of range":      object(other, `,"control":"10.0.0.9:70000"`),
-		"header in a version":    object(other, `,"version":"v1\r\nTanager-Outcome: x"`),
-		"long version":           object(other, `,"version":"`+strings.Repeat("v", 300)+`"`),
-		"another type":           object(other, `,"server":[1,2]`),
-		"list":                   {Key: nodeKeyPrefix + other, Value: []byte(`[1]`)},
-		"null":                   {Key: nodeKeyPrefix + other, Value: []byte(`null`)},
-		"no bytes of JSON":       {Key: nodeKeyPrefix + other, Value: []byte("\xff\xfe\x00")},
-		"under another address":  {Key: nodeKeyPrefix + "10.0.0.8:1", Value: object(other, "").Value},
-		"removal of an odd key":  {Key: nodeKeyPrefix + "\xff"},
-		"key of another kind":    {Key: "unheard-of", Value: []byte("{")},
-		"move without a phase":   {Key: moveKeyPrefix + testService, Value: []byte(`{"order":9,"from":"a","target":"b"}`)},
-		"move of no service":     {Key: moveKeyPrefix, Value: []byte(`{"order":9,"from":"a","target":"b","phase":"back"}`)},
-		"move, order too large":  {Key: moveKeyPrefix + testService, Value: []byte(`{"order":9223372036854775807,"from":"a","target":"b","phase":"back"}`)},
-		"move from no version":   {Key: moveKeyPrefix + testService, Value: []byte(`{"order":9,"target":"b","phase":"complete"}`)},
-		"move to an odd version": {Key: moveKeyPrefix + testService, Value: []byte(`{"order":9,"from":"a","target":"\n","phase":"switch"}`)},
+		"deeply nested":         {Key: nodeKeyPrefix + other, Value: []byte(strings.Repeat(`{"calls":`, 10_000))},
+		"nested and closed":     object(other, `,"x":`+strings.Repeat("[", 7000)+strings.Repeat("]", 7000)),
+		"too large":             object(other, `,"x":"`+strings.Repeat("x", maxMeshRecordBytes)+`"`),
+		"number too large":      object(other, `,"slots":100000000000000000000`),
+		"exponent":              object(other, `,"seq":1e300`),
+		"fraction":              object(other, `,"slots":2.5`),
+		"negative start":        object(other, `,"since":-1`),
+		"start in the future":   object(other, `,"since":9223372036854775807`),
+		"many slots":            object(other, `,"slots":9223372036854775807`),
+		"long cold start":       object(other, `,"coldMs":9223372036854775807`),
+		"port out of range":     object("10.0.0.9:70000", ""),
+		"port zero":             object("10.0.0.9:0", ""),
+		"no port":               object("10.0.0.9", ""),
+		"empty address":         object("", ""),
+		"any address":           object("0.0.0.0:1", ""),
+		"name":                  object("localhost:1", ""),
+		"feed out of range":     object(other, `,"control":"10.0.0.9:70000"`),
+		"header in a version":   object(other, `,"version":"v1\r\nTanager-Outcome: x"`),
+		"long version":          object(other, `,"version":"`+strings.Repeat("v", 300)+`"`),
+		"another type":          object(other, `,"server":[1,2]`),
+		"list":                  {Key: nodeKeyPrefix + other, Value: []byte(`[1]`)},
+		"null":                  {Key: nodeKeyPrefix + other, Value: []byte(`null`)},
+		"no bytes of JSON":      {Key: nodeKeyPrefix + other, Value: []byte("\xff\xfe\x00")},
+		"under another address": {Key: nodeKeyPrefix + "10.0.0.8:1", Value: object(other, "").Value},
+		"removal of an odd key": {Key: nodeKeyPrefix + "\xff"},
+		"key of another kind":   {Key: "unheard-of", Value: []byte("{")},
+		"move without a phase": {
+			Key:   moveKeyPrefix + testService,
+			Value: []byte(`{"order":9,"from":"a","target":"b"}`),
+		},
+		"move of no service": {
+			Key:   moveKeyPrefix,
+			Value: []byte(`{"order":9,"from":"a","target":"b","phase":"back"}`),
+		},
+		"move, order too large": {
+			Key:   moveKeyPrefix + testService,
+			Value: []byte(`{"order":9223372036854775807,"from":"a","target":"b","phase":"back"}`),
+		},
+		"move from no version": {
+			Key:   moveKeyPrefix + testService,
+			Value: []byte(`{"order":9,"target":"b","phase":"complete"}`),
+		},
+		"move to an odd version": {
+			Key:   moveKeyPrefix + testService,
+			Value: []byte(`{"order":9,"from":"a","target":"\n","phase":"switch"}`),
+		},
 	}
 }
 
@@ -165,7 +180,10 @@
 	f.Add("1/2/3/4/5")
 	f.Add("9223372036854775807/-9223372036854775808/1/1/1")
 	f.Fuzz(func(t *testing.T, text string) {
-		if l := parseLoad(text); l != nil && (l.running < 0 || l.queued < 0 || l.limit < 0 || l.latency < 0 || l.coldFor < 0) {
+		if l := parseLoad(
+			text,
+		); l != nil &&
+			(l.running < 0 || l.queued < 0 || l.limit < 0 || l.latency < 0 || l.coldFor < 0) {
 			t.Errorf("accepted %+v", l)
 		}
 		if tm, err := parseTerms(text); err == nil && (tm.maxWait < 0 || tm.priority < 0) {
