Detect a caller that leaves behind requests sent in advance

Cause: while a request is in progress, net/http reads one byte to detect a closed connection. When a further request arrives instead, it does not look again, so a server went on for a caller that had left, and the request behind was passed on afterwards. Ruled out: requests that arrive together with the first one (the byte is then read behind them, and the close is seen); polling the socket's state (not available everywhere, and a timer for each request). Change: connections of callers read ahead in that case, up to 64 KiB, and end the request in progress on a close.

--- a/meshd/node.go
+++ b/meshd/node.go
@@ -251,6 +251,9 @@
 	if err != nil {
 		return fmt.Errorf("listener for %s: %w", name, err)
 	}
+	if srv == n.callerServer {
+		l = proxy.NewPipelineListener(l)
+	}
 	n.httpServers = append(n.httpServers, srv)
 	n.wg.Go(func() {
 		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -141,7 +141,9 @@
 	}
 	delete(c.header, "Expect")
 	c.setDeadlines(caller.Deadline)
-	c.serve(r.Context(), w)
+	ctx, stop := proxy.DetectClose(r.Context())
+	defer stop()
+	c.serve(ctx, w)
 }
 
 // configWait returns how long a request may wait for the configuration at a node that has just started.
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -35,6 +35,7 @@
 		IdleTimeout:                  l.Idle,
 		MaxHeaderBytes:               l.HeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ConnContext:                  withPipelineConn,
 		ErrorLog:                     stdlog.New(errorLogWriter{}, "", 0),
 	}
 }
