Pass on a request that was read ahead without waiting for further bytes

Change: bytes read ahead are taken while the read ahead waits; only one of the two reads from the connection at a time. Measured: TestPipelinedLater failed (10 s without the second request) and passes.

--- a/proxy/pipeline.go
+++ b/proxy/pipeline.go
@@ -22,12 +22,12 @@
 	pipelineConn struct {
 		net.Conn
 
-		readLock sync.Mutex // held while reading from Conn, guards ahead
-		ahead    []byte     // bytes read ahead
-
 		mu       sync.Mutex
+		changed  *sync.Cond         // ahead or reading has changed
+		ahead    []byte             // bytes read ahead
 		unread   bool               // the last byte that net/http has read belongs to a further request
-		reading  bool               // readAhead runs
+		busy     bool               // net/http reads from Conn
+		reading  bool               // readAhead reads from Conn
 		canceled context.CancelFunc // ends the request in progress
 	}
 
@@ -44,7 +44,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pipelineConn{Conn: c}, nil
+	p := &pipelineConn{Conn: c}
+	p.changed = sync.NewCond(&p.mu)
+	return p, nil
 }
 
 // DetectClose returns a context that ends when the caller closes the connection, also behind further requests that it has
@@ -78,73 +80,62 @@
 
 // Read implements io.Reader. Only the detection of a close by net/http reads into a single byte.
 func (c *pipelineConn) Read(p []byte) (int, error) {
-	n, err := c.read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for len(c.ahead) == 0 && c.reading {
+		c.changed.Wait()
+	}
+	n, err := c.takeAhead(p), error(nil)
+	if n == 0 {
+		c.busy = true
+		c.mu.Unlock()
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+		c.busy = false
+	}
 	c.unread = len(p) == 1 && n == 1
 	c.startReadAhead()
 	return n, err
 }
 
-func (c *pipelineConn) read(p []byte) (int, error) {
-	c.readLock.Lock()
-	defer c.readLock.Unlock()
-	if len(c.ahead) == 0 {
-		return c.Conn.Read(p)
-	}
+// takeAhead returns bytes that were read ahead. The caller must hold the lock.
+func (c *pipelineConn) takeAhead(p []byte) int {
 	n := copy(p, c.ahead)
 	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
 		c.ahead = nil
 	}
-	return n, nil
+	return n
 }
 
-// startReadAhead reads ahead if a request is in progress and a further one is waiting. The caller must hold c.mu.
+// startReadAhead reads ahead if a request is in progress and a further one is waiting. The caller must hold the lock.
 func (c *pipelineConn) startReadAhead() {
-	if c.unread && c.canceled != nil && !c.reading {
+	if c.unread && c.canceled != nil && !c.busy && !c.reading {
 		c.reading = true
 		go c.readAhead()
 	}
 }
 
+// readAhead reads until no request is in progress. If the caller has closed the connection, it ends the request; the
+// next read by net/http gets the error as well.
 func (c *pipelineConn) readAhead() {
-	for c.readMore() {
-	}
+	buffer := make([]byte, 4<<10)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
-}
-
-// readMore reads more bytes ahead and reports whether to go on. If the caller has closed the connection, it ends the
-// request in progress; the next read by net/http gets the error as well.
-func (c *pipelineConn) readMore() bool {
-	c.readLock.Lock()
-	defer c.readLock.Unlock()
-	space := maxReadAhead - len(c.ahead)
-	if space <= 0 || !c.inProgress() {
-		return false
-	}
-	buffer := make([]byte, min(space, 4<<10))
-	n, err := c.Conn.Read(buffer)
-	c.ahead = append(c.ahead, buffer[:n]...)
-	if err == nil {
-		return true
+	var err error
+	for err == nil && c.canceled != nil && len(c.ahead)+len(buffer) <= maxReadAhead {
+		var n int
+		c.mu.Unlock()
+		n, err = c.Conn.Read(buffer)
+		c.mu.Lock()
+		c.ahead = append(c.ahead, buffer[:n]...)
+		c.changed.Signal()
 	}
+	c.reading = false
+	c.changed.Signal()
 	// net/http sets a deadline in the past when a request has ended.
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.canceled != nil {
-			c.canceled()
-		}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && c.canceled != nil {
+		c.canceled()
 	}
-	return false
-}
-
-func (c *pipelineConn) inProgress() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.canceled != nil
 }
 
 // CloseWrite closes the sending side, which net/http does before it closes a connection with unread bytes.
