Assume the recent load of its side for a server whose load report is old

Cause: the weight of a load report falls by half in 0.3 s, and what it loses counted as idle. With many servers a sender calls each of them less than once a second, so a full failure domain looked idle to it, and its requests were refused there until their attempts were used up, while other failure domains had room. Change: the part of a report's weight that has decayed counts as the mean load of the recent reports on the same side, in or out of the sender's failure domain.

--- a/meshd/index.go
+++ b/meshd/index.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -117,24 +116,25 @@
 	return e
 }
 
-// candidates returns the nodes that are compared for one request.
-func (e *eligibleNodes) candidates() []*peerNode {
+// candidates returns the nodes that are compared for one request. The function draw returns a random number from 0 to
+// n-1. The slice must not be modified.
+func (e *eligibleNodes) candidates(draw func(n int) int) []*peerNode {
 	if len(e.local) <= maxLocalCandidates+drawnCandidates && len(e.remote) <= maxRemoteCandidates+drawnCandidates {
 		return e.all
 	}
 	list := make([]*peerNode, 0, maxLocalCandidates+maxRemoteCandidates+2*drawnCandidates)
-	list = appendCandidates(list, e.local, maxLocalCandidates)
-	return appendCandidates(list, e.remote, maxRemoteCandidates)
+	list = appendCandidates(list, e.local, maxLocalCandidates, draw)
+	return appendCandidates(list, e.remote, maxRemoteCandidates, draw)
 }
 
 // appendCandidates appends the first nodes, and some that are drawn from the others. One may be drawn twice.
-func appendCandidates(list, nodes []*peerNode, first int) []*peerNode {
+func appendCandidates(list, nodes []*peerNode, first int, draw func(n int) int) []*peerNode {
 	if len(nodes) <= first+drawnCandidates {
 		return append(list, nodes...)
 	}
 	list = append(list, nodes[:first]...)
 	for range drawnCandidates {
-		list = append(list, nodes[first+rand.IntN(len(nodes)-first)])
+		list = append(list, nodes[first+draw(len(nodes)-first)])
 	}
 	return list
 }
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -260,7 +261,7 @@
 	case all:
 		return e.all
 	}
-	return e.candidates()
+	return e.candidates(rand.IntN)
 }
 
 // serviceSpec returns the configuration of a service.
--- a/place/choose.go
+++ b/place/choose.go
@@ -10,6 +10,8 @@
 const (
 	// reportHalfLife is the age at which a load report has half its weight.
 	reportHalfLife = 300 * time.Millisecond
+	// idleWeight is the weight, in recent reports, of the assumption that servers are idle.
+	idleWeight = 0.5
 	// unknownWorkRatio is the service time assumed for a server without measurements, as a fraction of Request.Work. It
 	// is below 1 so that a new server gets requests and its service time can be measured.
 	unknownWorkRatio = 0.6
@@ -53,6 +55,9 @@
 		ColdRate float64       // requests per second that it accepts during its cold start
 		Recent   int           // requests sent to it by this sender in the last second
 		Senders  int           // nodes that share the cold rate
+		// Typical is the load per slot that is assumed where the report is old. Choose sets it to the mean of the recent
+		// reports from servers on the same side, in or out of the sender's failure domain.
+		Typical float64
 		// Estimated is the wait that the server's node reported with a recent refusal, 1 ms if it reported none; 0
 		// without a recent refusal.
 		Estimated time.Duration
@@ -79,6 +84,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
+	setTypicalLoad(candidates)
 	cheapest, second := -1, -1
 	costs := make([]float64, len(candidates))
 	start := int(draw * float64(len(candidates)))
@@ -99,6 +105,31 @@
 	return c, true
 }
 
+// setTypicalLoad sets Typical. With many servers each one is called seldom, so that most reports are old; without it a full
+// failure domain looks idle.
+func setTypicalLoad(candidates []Candidate) {
+	var load, weight [2]float64
+	side := func(c *Candidate) int {
+		if c.Local {
+			return 0
+		}
+		return 1
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		w := reportWeight(c)
+		load[side(c)] += w * float64(c.Running+c.Queued) / float64(max(c.Slots, 1))
+		weight[side(c)] += w
+	}
+	for i := range candidates {
+		n := side(&candidates[i])
+		candidates[i].Typical = load[n] / (weight[n] + idleWeight)
+	}
+}
+
+// reportWeight returns the weight of a candidate's load report.
+func reportWeight(c *Candidate) float64 { return math.Exp2(-float64(c.Age) / float64(reportHalfLife)) }
+
 // Cost returns the expected loss if the request is sent to the candidate. It consists of the value lost by a late
 // answer or a failure, and of the cost of traffic between failure domains.
 func Cost(c *Candidate, r Request) float64 {
@@ -184,8 +215,8 @@
 		return expectedColdWait(c)
 	}
 	slots := float64(max(c.Slots, 1))
-	decay := math.Exp2(-float64(c.Age) / float64(reportHalfLife))
-	busy := max(float64(c.Running+c.Queued)*decay, float64(c.Pending))
+	weight := reportWeight(c)
+	busy := max(float64(c.Running+c.Queued)*weight+c.Typical*slots*(1-weight), float64(c.Pending))
 	excess := busy + 1 - slots
 	if excess <= 0 {
 		// All slots of a highly utilized server may be busy by the time the request arrives.
