Report lines that were dropped before a log closes, and play endless responses and repeated refusals in the soak

Cause: the number of dropped log lines was written with the next line that fitted, and lost if none followed. The soak's servers broke off responses and sent surplus ones, but never wrote without end or repeated a refusal. Change: the number is written with the next flush, the last one included. Measured: TestDroppedBeforeClose fails without the change and passes with it.

--- a/logger/async.go
+++ b/logger/async.go
@@ -16,7 +16,7 @@
 )
 
 // AsyncWriter writes lines in the background. Write never blocks: it drops and counts the lines that do not fit into
-// the buffer. The count is logged with the next line that fits.
+// the buffer. The count is logged behind the lines that did.
 type AsyncWriter struct {
 	out io.Writer
 
@@ -42,10 +42,6 @@
 		a.dropped++
 		return len(p), nil
 	}
-	if a.dropped > 0 {
-		fmt.Fprintf(&a.pending, "level=warn msg=\"log lines dropped\" lines=%d\n", a.dropped)
-		a.dropped = 0
-	}
 	return a.pending.Write(p)
 }
 
@@ -72,6 +68,10 @@
 
 func (a *AsyncWriter) flush() {
 	a.mu.Lock()
+	if a.dropped > 0 {
+		fmt.Fprintf(&a.pending, "level=warn msg=\"log lines dropped\" lines=%d\n", a.dropped)
+		a.dropped = 0
+	}
 	lines := bytes.Clone(a.pending.Bytes())
 	a.pending.Reset()
 	a.mu.Unlock()
--- a/logger/async_test.go
+++ b/logger/async_test.go
@@ -58,3 +58,19 @@
 		t.Errorf("log ends %q", text[max(0, len(text)-200):])
 	}
 }
+
+// TestDroppedBeforeClose guards against dropped lines that are not reported because no line follows them.
+func TestDroppedBeforeClose(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	a := logger.NewAsyncWriter(out)
+	for range 10_000 {
+		if _, err := a.Write([]byte(strings.Repeat("x", 99) + "\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(out.release)
+	a.Close()
+	if text := out.written.String(); !strings.Contains(text, "log lines dropped") {
+		t.Errorf("log ends %q, want the number of dropped lines", text[max(0, len(text)-200):])
+	}
+}
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -23,9 +23,9 @@
 	serverHealthy      serverFault = iota
 	serverFails                    // responds with an error status
 	serverHangs                    // takes a minute to respond
-	serverTruncates                // closes the connection in the middle of the response body
+	serverTruncates                // closes the connection in the middle of the response, or never ends it
 	serverResets                   // runs the request and closes the connection without a response
-	serverAnswersTwice             // sends a second response that belongs to no request
+	serverAnswersTwice             // sends a second response that belongs to no request, or an earlier refusal once more
 	serverSheds                    // rejects the request without running it
 	serverFaultCount
 )
@@ -212,6 +212,10 @@
 		return
 	}
 	defer b.running.Add(-1)
+	if fault == serverAnswersTwice && rand.IntN(2) == 0 {
+		b.refuseTwice(s, w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -240,6 +244,10 @@
 	}
 	w.Header().Set("Response-Signature", "signed by "+s.ID())
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if fault == serverTruncates && rand.IntN(2) == 0 {
+		answerEndlessly(w, id)
+		return
+	}
 	if fault == serverTruncates {
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, text[:len(text)/2])
