Begin requests that a caller has sent in advance before their turn

Cause: net/http serves the requests of a connection one after the other, so each waited for the slowest one before it. Change: the bytes of a caller's connection are looked at as they arrive. A stopping node closes a connection behind the last one begun.

--- a/conns/hostile_test.go
+++ b/conns/hostile_test.go
@@ -59,10 +59,10 @@
 			"body in chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\ngarbage!\r\n", 0,
 			32 << 20, true,
 		},
-		{"body of another request", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "garbage", 0, 32 << 20, true},
+		{"body of another request", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "garbage", 0, 8 << 20, true},
 		{
 			"body in chunks of another request", "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n",
-			"8\r\ngarbage!\r\n", 0, 64 << 20, true,
+			"8\r\ngarbage!\r\n", 0, 8 << 20, true,
 		},
 		{"long length", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9000000000\r\n\r\n", "x", 0, 8 << 20, true},
 		{
--- a/conns/response.go
+++ b/conns/response.go
@@ -14,6 +14,8 @@
 const (
 	// maxSkippedResponses is the number of responses to other requests on its connection after which a request fails.
 	maxSkippedResponses = 4
+	// maxSkippedBytes bounds the body of a response to another request, which is read to its end.
+	maxSkippedBytes = 1 << 20
 	// maxInterimResponses is the number of responses with a status 1xx after which a request fails.
 	maxInterimResponses = 8
 	// maxHeadBytes bounds the status line and the headers of a response. It is twice the size that the listeners accept
@@ -60,8 +62,8 @@
 			continue
 		}
 		framed := r.Method == http.MethodHead || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		e.c.limitTo(r.Limit + framingAllowance)
 		if r.Own != nil && !r.Own(resp.StatusCode, resp.Header) {
+			e.c.limitTo(min(r.Limit, maxSkippedBytes) + framingAllowance)
 			if !framed || resp.Close {
 				return nil, false, errNoOwnResponse
 			}
@@ -71,6 +73,7 @@
 			skipped++
 			continue
 		}
+		e.c.limitTo(r.Limit + framingAllowance)
 		body, err := e.readBody(r, resp)
 		if err != nil {
 			return nil, false, fmt.Errorf("reading the answer's body: %w", err)
--- a/meshd/node.go
+++ b/meshd/node.go
@@ -253,7 +253,7 @@
 		return fmt.Errorf("listener for %s: %w", name, err)
 	}
 	if srv == n.callerServer {
-		l = proxy.NewPipelineListener(l)
+		l = proxy.NewPipelineListener(l, n.begin)
 	}
 	n.httpServers = append(n.httpServers, srv)
 	n.wg.Go(func() {
@@ -400,10 +400,20 @@
 func (d *drainHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	if d.closing.Load() {
+	ctx, turn := proxy.StartTurn(r.Context())
+	defer turn.End()
+	if d.closing.Load() && !turn.More() {
 		w.Header()["Connection"] = []string{"close"}
 	}
-	d.next.ServeHTTP(w, r)
+	d.next.ServeHTTP(w, r.WithContext(ctx))
+}
+
+// begin begins a request that a caller has sent in advance, unless the node is stopping: its connections are closed then.
+func (n *Node) begin(ctx context.Context, r *http.Request) proxy.Begun {
+	if n.callerHandler.closing.Load() {
+		return nil
+	}
+	return n.outbound.Begin(ctx, r)
 }
 
 // operatorHandler serves the metrics and the state of the node.
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -97,6 +97,10 @@
 
 // ServeHTTP implements http.Handler.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b, ok := proxy.BegunFrom(r.Context()).(*begunCall); ok {
+		b.serve(w, r)
+		return
+	}
 	arrived := o.Clock.Now()
 	caller := o.Codec.ParseCaller(r.Header)
 	table := o.View.AwaitTable(r.Context(), o.configWait(caller.Deadline))
@@ -125,27 +129,26 @@
 		o.refuseUnreadable(w, caller.ID, err)
 		return
 	}
-	c := &call{
-		outbound:      o,
-		id:            caller.ID,
-		method:        r.Method,
-		uri:           r.RequestURI,
-		host:          r.Host,
-		body:          body,
-		share:         share,
-		route:         entry,
-		header:        proxy.EndToEndHeaders(r.Header),
-		configVersion: table.Config().Version,
-		service:       entry.NextService(),
-		arrived:       arrived,
-	}
-	delete(c.header, "Expect")
+	c := o.newCall(r, table, entry, caller, share)
+	c.arrived, c.body = arrived, body
 	c.setDeadlines(caller.Deadline)
 	ctx, stop := proxy.DetectClose(r.Context())
 	defer stop()
 	c.serve(ctx, w)
 }
 
+func (o *Outbound) newCall(
+	r *http.Request, table *route.Table, entry *route.Entry, caller shunt.CallerRequest, share *quota.Share,
+) *call {
+	c := &call{
+		outbound: o, id: caller.ID, method: r.Method, uri: r.RequestURI, host: r.Host, share: share, route: entry,
+		header: proxy.EndToEndHeaders(r.Header), configVersion: table.Config().Version, service: entry.NextService(),
+		arrived: o.Clock.Now(),
+	}
+	delete(c.header, "Expect")
+	return c
+}
+
 // configWait returns how long a request may wait for the configuration at a node that has just started.
 func (o *Outbound) configWait(deadline time.Duration) time.Duration {
 	wait := startupWait - o.Clock.Since(o.StartedAt)
@@ -174,10 +177,14 @@
 
 // serve dispatches the request and writes the response.
 func (c *call) serve(ctx context.Context, w http.ResponseWriter) {
-	o := c.outbound
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	res := c.dispatch(ctx)
+	c.finish(ctx, w, c.dispatch(ctx))
+}
+
+// finish writes the response. The context is that of dispatch.
+func (c *call) finish(ctx context.Context, w http.ResponseWriter, res *inboundResult) {
+	o := c.outbound
 	took := o.Clock.Since(c.arrived)
 	status := res.status
 	switch {
--- a/proxy/pipeline.go
+++ b/proxy/pipeline.go
@@ -14,7 +14,10 @@
 
 type (
 	// pipelineListener accepts connections on which a close is detected behind unread requests.
-	pipelineListener struct{ net.Listener }
+	pipelineListener struct {
+		net.Listener
+		begin BeginFunc
+	}
 
 	// pipelineConn is a connection on which a caller may send requests before earlier ones are answered. While a request
 	// is in progress, net/http reads a single byte to detect that the caller has closed the connection. If a further
@@ -29,14 +32,18 @@
 		busy     bool               // net/http reads from Conn
 		reading  bool               // readAhead reads from Conn
 		canceled context.CancelFunc // ends the request in progress
+		advance  advanceReader
 	}
 
 	pipelineKey struct{}
 )
 
 // NewPipelineListener returns a listener for connections of callers who may send requests before earlier ones are
-// answered, for a server of NewHTTPServer.
-func NewPipelineListener(l net.Listener) net.Listener { return &pipelineListener{l} }
+// answered, for a server of NewHTTPServer. Such requests are begun with begin while the earlier ones are in progress; the
+// server then handles them in turn, so that their responses keep their order.
+func NewPipelineListener(l net.Listener, begin BeginFunc) net.Listener {
+	return &pipelineListener{l, begin}
+}
 
 // Accept implements net.Listener.
 func (l *pipelineListener) Accept() (net.Conn, error) {
@@ -44,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &pipelineConn{Conn: c}
+	p := &pipelineConn{Conn: c, advance: advanceReader{begin: l.begin}}
 	p.changed = sync.NewCond(&p.mu)
 	return p, nil
 }
@@ -92,6 +99,7 @@
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
 		c.busy = false
+		c.advance.add(p[:n])
 	}
 	c.unread = len(p) == 1 && n == 1
 	c.startReadAhead()
@@ -128,6 +136,7 @@
 		n, err = c.Conn.Read(buffer)
 		c.mu.Lock()
 		c.ahead = append(c.ahead, buffer[:n]...)
+		c.advance.add(buffer[:n])
 		c.changed.Signal()
 	}
 	c.reading = false
@@ -138,6 +147,14 @@
 	}
 }
 
+// Close closes the connection and ends the requests that were begun in advance.
+func (c *pipelineConn) Close() error {
+	c.mu.Lock()
+	c.advance.cancel()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection with unread bytes.
 func (c *pipelineConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
