Weigh the typical load of servers with few reports less

Cause: with few reports in the last second the mean load of a side is that of one or two servers. Change: four reports of idle servers are counted beside the real ones (half a report before).

--- a/place/choose.go
+++ b/place/choose.go
@@ -10,8 +10,9 @@
 const (
 	// reportHalfLife is the age at which a load report has half its weight.
 	reportHalfLife = 300 * time.Millisecond
-	// idleWeight is the weight, in recent reports, of the assumption that servers are idle.
-	idleWeight = 0.5
+	// idleWeight is the weight, in recent reports, of the assumption that the servers of a side are idle. With few
+	// reports it prevails.
+	idleWeight = 4
 	// unknownWorkRatio is the service time assumed for a server without measurements, as a fraction of Request.Work. It
 	// is below 1 so that a new server gets requests and its service time can be measured.
 	unknownWorkRatio = 0.6
