Refuse delayed heartbeats of a server that deregistered at a node that did not know it

Cause: after its restart a node knows no server until the next heartbeat. A deregistration without a start time was recorded with 0, so that any delayed heartbeat counted as one of a later server, and the entry from before the restart could be restored. Ruled out: the read ahead and the placement (the door of the restarted node sent the requests). Change: the time of the deregistration, less 5 s, counts as the start time of the departed server, and a restored entry is checked like a heartbeat.

--- a/meshd/index.go
+++ b/meshd/index.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -22,15 +20,22 @@
 	// without a lock.
 	meshIndex struct {
 		generation uint64   // of the view from which it was built
-		live       []string // addresses of the nodes that are reachable and not stopping, sorted
+		live       []string // addresses of the nodes that are reachable and not stopping
 		domains    []string // failure domains of the nodes that are not stopping, sorted
 		services   []string // services of the nodes that are not stopping, sorted
-		baselines  map[string]nodeEntry
+		baselines  map[string]baseline
 		eligible   map[serviceVersion]*eligibleNodes
 	}
 
 	serviceVersion struct{ service, version string }
 
+	// baseline is the version of a service that serves when there is no move, with the entry that decides it.
+	baseline struct {
+		version, addr string
+		since         int64
+		exists        bool // whether the node of the entry may exist
+	}
+
 	// eligibleNodes are the nodes whose servers may run requests of a service's version.
 	eligibleNodes struct {
 		all           []*peerNode // sorted by address
@@ -39,8 +44,8 @@
 
 	indexedNode struct {
 		peer  *peerNode
-		entry nodeEntry
-		rank  uint64
+		addr  string
+		local bool
 	}
 )
 
@@ -60,19 +65,17 @@
 // buildIndex builds the index. The caller must hold the lock.
 func (v *MeshView) buildIndex(generation uint64) *meshIndex {
 	ix := &meshIndex{
-		generation: generation, live: make([]string, 0, len(v.peers)), baselines: make(map[string]nodeEntry),
+		generation: generation, live: make([]string, 0, len(v.peers)), baselines: make(map[string]baseline),
 		eligible: make(map[serviceVersion]*eligibleNodes),
 	}
 	groups := make(map[serviceVersion][]indexedNode)
 	domains, services := make(map[string]bool), make(map[string]bool)
-	reached := make(map[string]bool) // whether the node of a service's baseline may exist
 	for addr, p := range v.peers {
 		e, exists, unreachable := p.indexed()
 		if e.Service != "" && e.Version != "" {
-			oldest, known := ix.baselines[e.Service]
-			order := cmp.Or(compareStarts(e.Since, oldest.Since), cmp.Compare(e.Calls, oldest.Calls))
-			if !known || exists && !reached[e.Service] || exists == reached[e.Service] && order < 0 {
-				ix.baselines[e.Service], reached[e.Service] = e, exists
+			candidate := baseline{e.Version, addr, e.Since, exists}
+			if oldest, ok := ix.baselines[e.Service]; !ok || candidate.before(oldest) {
+				ix.baselines[e.Service] = candidate
 			}
 		}
 		if e.Stopping {
@@ -88,26 +91,33 @@
 		services[e.Service] = true
 		if !e.Leaving && e.Server != "" && !v.evacuated[e.Domain] {
 			key := serviceVersion{e.Service, e.Version}
-			groups[key] = append(groups[key], indexedNode{p, e, xxhash.Sum64String(v.self + addr)})
+			groups[key] = append(groups[key], indexedNode{p, addr, e.Domain == v.domain})
 		}
 	}
 	for key, nodes := range groups {
-		ix.eligible[key] = newEligibleNodes(nodes, v.domain)
+		ix.eligible[key] = newEligibleNodes(nodes)
 	}
 	ix.domains, ix.services = sortedKeys(domains), sortedKeys(services)
-	slices.Sort(ix.live)
 	return ix
 }
 
-func newEligibleNodes(nodes []indexedNode, domain string) *eligibleNodes {
-	e := &eligibleNodes{}
-	slices.SortFunc(nodes, func(a, b indexedNode) int { return cmp.Compare(a.entry.Calls, b.entry.Calls) })
+// before reports whether a baseline goes before another one of the same service.
+func (b baseline) before(other baseline) bool {
+	if b.exists != other.exists {
+		return b.exists
+	}
+	return cmp.Or(compareStarts(b.since, other.since), cmp.Compare(b.addr, other.addr)) < 0
+}
+
+func newEligibleNodes(nodes []indexedNode) *eligibleNodes {
+	e := &eligibleNodes{all: make([]*peerNode, 0, len(nodes))}
+	slices.SortFunc(nodes, func(a, b indexedNode) int { return cmp.Compare(a.addr, b.addr) })
 	for _, n := range nodes {
 		e.all = append(e.all, n.peer)
 	}
-	slices.SortFunc(nodes, func(a, b indexedNode) int { return cmp.Compare(a.rank, b.rank) })
+	slices.SortFunc(nodes, func(a, b indexedNode) int { return cmp.Compare(a.peer.rank, b.peer.rank) })
 	for _, n := range nodes {
-		if n.entry.Domain == domain {
+		if n.local {
 			e.local = append(e.local, n.peer)
 		} else {
 			e.remote = append(e.remote, n.peer)
--- a/meshd/index_test.go
+++ b/meshd/index_test.go
@@ -76,8 +76,7 @@
 	const senders = 150
 	compared := make(map[string]int)
 	for i := range senders {
-		o := newSizedOutbound(t, 300)
-		o.View.self, o.View.domain = fmt.Sprintf("10.0.0.%d:7", i), fmt.Sprintf("zone-%d", i%5)
+		o := newSizedOutbound(t, 300, fmt.Sprintf("10.0.0.%d:7", i), fmt.Sprintf("zone-%d", i%5))
 		nodes := o.View.candidates(testService, "v1", false)
 		if limit := maxLocalCandidates + maxRemoteCandidates + 2*drawnCandidates; len(nodes) > limit {
 			t.Fatalf("%d candidates, want %d at most", len(nodes), limit)
--- a/meshd/moves.go
+++ b/meshd/moves.go
@@ -35,7 +35,7 @@
 		} else if s != nil {
 			m.currentVersion = s.Version(1, 0) // a share of 0 selects the old version during a trial
 		} else {
-			m.currentVersion = baselines[service].Version
+			m.currentVersion = baselines[service].version
 		}
 		for _, p := range v.peers {
 			e := p.currentEntry()
--- a/meshd/peer.go
+++ b/meshd/peer.go
@@ -23,6 +23,7 @@
 	// peerNode is the state of a node of the mesh, including this one: its entry, its last load report and the recent
 	// outcomes of requests sent to it.
 	peerNode struct {
+		rank       uint64         // order among the candidates of this sender
 		generation *atomic.Uint64 // of the view, incremented when the node becomes reachable or unreachable; may be nil
 
 		mu          sync.Mutex
--- a/meshd/server.go
+++ b/meshd/server.go
@@ -30,6 +30,8 @@
 	// defaultColdRate is the rate, in requests per second, of a cold or unverified server of a service without a
 	// configured cold rate.
 	defaultColdRate = 10
+	// clockStepMargin is how far the clock may step back between the end of a server and the start of the next one.
+	clockStepMargin = 5 * time.Second
 	// usedColdRateShare is the share of a cold server's allowed rate that is used. The rest allows for jitter: the
 	// rate is measured when requests arrive at the server, while the node limits it when it sends them.
 	usedColdRateShare = 0.93
@@ -56,7 +58,7 @@
 		connectionLostAt time.Time // time of the last connection failure
 		confirmSentAt    time.Time
 		leavingSince     time.Time
-		departed         map[string]int64 // start times of servers that have left, by identifier
+		departed         map[string]int64 // start times of servers that have left, or later ones, by identifier
 	}
 )
 
@@ -176,6 +178,10 @@
 func (s *Server) HandleDeregistration(id string, born int64) {
 	s.mu.Lock()
 	if s.report.ID != id || born != 0 && born < s.report.Born {
+		if born == 0 {
+			// A server that started later is another one. The margin allows for steps of the clock.
+			born = s.clock.Now().Add(-clockStepMargin).UnixMilli()
+		}
 		s.departed[id] = born
 		s.mu.Unlock()
 		return
@@ -197,7 +203,7 @@
 // is the same and healthy.
 func (s *Server) Restore(r shunt.ServerReport) {
 	s.mu.Lock()
-	if s.report.ID != "" || r.Leaving {
+	if s.report.ID != "" || r.Leaving || !s.isNewer(r) {
 		s.mu.Unlock()
 		return
 	}
--- a/meshd/server_test.go
+++ b/meshd/server_test.go
@@ -257,3 +257,46 @@
 		})
 	}
 }
+
+// TestLateHeartbeatAfterRestart guards against requests to a server that has left: its node has restarted and does not
+// know the server when it deregisters, without its start time, and then a delayed heartbeat of the server arrives or its
+// entry from before the restart is read. A later start under the same identifier is another server.
+func TestLateHeartbeatAfterRestart(t *testing.T) {
+	c := clockwork.NewFakeClockAt(time.UnixMilli(1779056322000))
+	newServer := func() *Server {
+		s := NewServer(c, &sched.Queue{Clock: c}, func() shunt.ServiceSpec { return shunt.ServiceSpec{} }, testService,
+			testAddress)
+		s.HandleDeregistration("i-1", 0)
+		return s
+	}
+	report := shunt.ServerReport{
+		ID:       "i-1",
+		Born:     1779056298000,
+		Sequence: 21,
+		Service:  testService,
+		Address:  testAddress,
+		Version:  "v1",
+		Slots:    4,
+	}
+	s := newServer()
+	if err := s.HandleReport(report); err != nil {
+		t.Fatal(err)
+	}
+	if _, usable := s.Current(); usable {
+		t.Error("a delayed heartbeat of a server that has left is accepted")
+	}
+	s = newServer()
+	s.Restore(report)
+	if _, usable := s.Current(); usable {
+		t.Error("a server that has left is restored")
+	}
+	s = newServer()
+	c.Advance(time.Second)
+	report.Born, report.Sequence = c.Now().UnixMilli(), 1
+	if err := s.HandleReport(report); err != nil {
+		t.Fatal(err)
+	}
+	if _, usable := s.Current(); !usable {
+		t.Error("a server that has started again under the same identifier is not accepted")
+	}
+}
--- a/meshd/size_test.go
+++ b/meshd/size_test.go
@@ -20,9 +20,10 @@
 
 // newSizedOutbound returns an Outbound whose view holds a number of nodes in five failure domains. Half of them serve
 // the service of the benchmark, as in the large deployment, but at most 150.
-func newSizedOutbound(tb testing.TB, nodes int) *Outbound {
+func newSizedOutbound(tb testing.TB, nodes int, self, domain string) *Outbound {
 	tb.Helper()
 	view := NewMeshView(clockwork.NewRealClock())
+	view.self, view.domain = self, domain
 	view.SetConfig(&shunt.MeshConfig{Version: 1, Services: map[string]shunt.ServiceSpec{testService: {}}})
 	serving := min(max(nodes/2, nodesOfService), 150)
 	for i := range nodes {
@@ -36,7 +37,7 @@
 		})
 	}
 	return &Outbound{
-		Clock: clockwork.NewRealClock(), Codec: fakeHeaderCodec{}, View: view, Domain: "zone-0",
+		Clock: clockwork.NewRealClock(), Codec: fakeHeaderCodec{}, View: view, Domain: domain,
 		Bounds:  func() Bounds { return Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 60} },
 		Service: func() string { return testService },
 	}
@@ -55,7 +56,7 @@
 func BenchmarkPlaceRequest(b *testing.B) {
 	for _, nodes := range benchmarkSizes {
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
-			o := newSizedOutbound(b, nodes)
+			o := newSizedOutbound(b, nodes, "10.0.0.0:7", "zone-0")
 			c := newSizedCall(o)
 			b.ReportAllocs()
 			for b.Loop() {
@@ -80,7 +81,7 @@
 func BenchmarkIndex(b *testing.B) {
 	for _, nodes := range benchmarkSizes {
 		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
-			v := newSizedOutbound(b, nodes).View
+			v := newSizedOutbound(b, nodes, "10.0.0.0:7", "zone-0").View
 			e, _ := v.lookupEntry("10.0.0.1:7")
 			for b.Loop() {
 				e.Sequence++
--- a/meshd/spread_test.go
+++ b/meshd/spread_test.go
@@ -210,16 +210,14 @@
 			nodes := make([]indexedNode, servers)
 			for i := range servers {
 				s.seen[i] = make([]spreadReport, servers)
-				nodes[i] = indexedNode{peer: &peerNode{}, entry: nodeEntry{
-					Calls: fmt.Sprintf("%05d", i), Domain: fmt.Sprint(i % spreadDomains),
-				}}
+				nodes[i] = indexedNode{peer: &peerNode{}, addr: fmt.Sprintf("%05d", i)}
 				indexOf[nodes[i].peer] = i
 			}
 			for sender := range servers {
 				for i := range nodes {
-					nodes[i].rank = s.random.Uint64()
+					nodes[i].peer.rank, nodes[i].local = s.random.Uint64(), i%spreadDomains == sender%spreadDomains
 				}
-				fixed[sender] = newEligibleNodes(append([]indexedNode(nil), nodes...), fmt.Sprint(sender%spreadDomains))
+				fixed[sender] = newEligibleNodes(slices.Clone(nodes))
 			}
 			s.choose = func(sender int) (list []int) {
 				switch policy {
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
@@ -160,7 +161,7 @@
 	defer v.mu.Unlock()
 	p := v.peers[e.Calls]
 	if p == nil {
-		p = &peerNode{generation: &v.generation}
+		p = &peerNode{generation: &v.generation, rank: xxhash.Sum64String(v.self + e.Calls)}
 		v.peers[e.Calls] = p
 	}
 	p.update(e, v.clock.Now())
@@ -178,7 +179,7 @@
 	return p.currentEntry(), true
 }
 
-// nodeAddresses returns the addresses of all nodes that are reachable and not stopping, sorted. The slice must not be
+// nodeAddresses returns the addresses of all nodes that are reachable and not stopping, in no order. The slice must not be
 // modified.
 func (v *MeshView) nodeAddresses() []string { return v.index().live }
 
@@ -187,7 +188,7 @@
 // reached come last, so that the entry of a node that does not exist cannot take a service out of use. No lock of the
 // view may be held.
 func (v *MeshView) baselineVersion(service string) string {
-	return v.index().baselines[service].Version
+	return v.index().baselines[service].version
 }
 
 // compareStarts compares two start times. An unknown one, 0, comes last.
