--- a/conns/hostile_test.go
+++ b/conns/hostile_test.go
@@ -88,8 +88,8 @@
 				go func() {
 					r := newRequest("a")
 					r.Limit, r.Share = 32<<20, memory.Open()
-					defer r.Share.Release()
 					_, err := pool.Do(ctx, addr, r)
+					r.Share.Release()
 					errs <- err
 				}()
 			}
