Listen on addresses of their own in tests that restart nodes

The test ends a node and starts another on the same ports of 127.0.0.1; a listener of a test that runs beside it had been given one of them meanwhile.

Change: nodes of these tests listen on an address in 127/8 that is derived from the process ID, as those of platform and the soak did already.

--- a/agent/mesh_test.go
+++ b/agent/mesh_test.go
@@ -103,7 +103,7 @@
 }
 
 func (m *mesh) settings(domain string) params.Node {
-	const free = "127.0.0.1:0"
+	free := net.JoinHostPort(stub.LoopbackIP(), "0") // restart listens on the same ports again
 	s := params.Node{
 		Domain: domain, Region: "attica",
 		Listeners:   params.Listeners{Callers: free, Calls: free, Control: free, Operators: free, Servers: free},
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -16,6 +16,7 @@
 
 	"tanagershunt.example/shunt/params"
 	"tanagershunt.example/shunt/platform/fakes"
+	"tanagershunt.example/shunt/stub"
 )
 
 // Ports of an instance. port*Link is the port of the fault-injecting proxy for the port of that name, and portStoreLink
@@ -43,9 +44,6 @@
 	startTimeout      = 20 * time.Second
 	readyTimeout      = time.Second // of one readiness request
 	readyPollInterval = 50 * time.Millisecond
-	// loopbackOctet is the lowest second octet of instance addresses. The octets depend on the PID, so that soaks can
-	// run at the same time.
-	loopbackOctet = 64
 )
 
 type (
@@ -123,7 +121,7 @@
 func (f *fleet) addInstance(i int, domain, service, version string, bad bool) error {
 	in := &instance{
 		fleet: f, name: fmt.Sprintf("node-%d", i), domain: domain, service: service, lastFaultEnd: time.Now(),
-		ip:    fmt.Sprintf("127.%d.%d.%d", loopbackOctet+os.Getpid()/256%loopbackOctet, os.Getpid()%256, i+1),
+		ip:    stub.LoopbackIP(),
 		links: make(map[string]*link),
 	}
 	for _, k := range []struct {
