Begin requests in advance only behind headers that net/http reads alike

Cause: platform.TestMalformedRequests failed in two of six runs: a request behind a malformed one reached a server. The reader of requests sent in advance was less strict than net/http. Found beside it: with line feeds alone at the ends of lines it counted two requests as one, and the response to the third request of a connection was given to the second (failed in both runs of platform.TestPipelinedLineFeeds before the change).

Change: proxy.isPlain ends the reading in advance at any header that net/http might reject or divide in another way. The request whose turn has come is compared with the one that was begun; a difference is logged as an error.

--- a/meshd/begun.go
+++ b/meshd/begun.go
@@ -40,6 +40,12 @@
 	return b
 }
 
+// isFor reports whether the call is that of a request whose turn has come.
+func (b *begunCall) isFor(r *http.Request, id string) bool {
+	c := b.call
+	return c.id == id && c.method == r.Method && c.uri == r.RequestURI && c.host == r.Host
+}
+
 // Cancel implements proxy.Begun.
 func (b *begunCall) Cancel() {
 	b.cancel()
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -97,12 +97,18 @@
 
 // ServeHTTP implements http.Handler.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if b, ok := proxy.BegunFrom(r.Context()).(*begunCall); ok {
-		b.serve(w, r)
-		return
-	}
 	arrived := o.Clock.Now()
 	caller := o.Codec.ParseCaller(r.Header)
+	if b, ok := proxy.BegunFrom(r.Context()).(*begunCall); ok {
+		if b.isFor(r, caller.ID) {
+			b.serve(w, r)
+			return
+		}
+		log.WithFields(log.Fields{"request": caller.ID, "begun": b.call.id}).Error(
+			"request begun in advance is not the one that was read",
+		)
+		b.Cancel()
+	}
 	table := o.View.AwaitTable(r.Context(), o.configWait(caller.Deadline))
 	if table == nil {
 		o.refuse(w, caller.ID, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
--- a/proxy/advance.go
+++ b/proxy/advance.go
@@ -73,8 +73,9 @@
 	number := a.read
 	a.read++
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
-	if err != nil || r.ContentLength != 0 || len(r.TransferEncoding) > 0 || r.Close || !r.ProtoAtLeast(1, 1) {
-		// A body hides the boundary of the next request, and a closing response is the last one.
+	if err != nil || !isPlain(header, r) {
+		// A body hides the boundary of the next request, and behind a closing response or a refusal by net/http none is
+		// read.
 		a.ended = true
 		return
 	}
