Count requests to a cold server when they are sent

The limit counted a request when it got its slot; its body and its connection may hold it up for some hundred milliseconds, so that it arrives together with later ones.

Change: sched.StartLimiter counts a started request until it is sent, and then for a second; conns.Request.Writing tells when that is.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -35,6 +35,8 @@
 		// ID identifies the request. A connection on which a request was refused or failed is not used for another one
 		// with the same ID, because a faulty peer may write the earlier response again. If it is empty, any is used.
 		ID string
+		// Writing is called when a connection is available, before the request is written to it. It may be nil.
+		Writing func()
 		// Share is the memory for the response's body; nil for no limit besides Limit.
 		Share *quota.Share
 		// Own reports whether a response belongs to this request. If it is nil, every response does.
@@ -80,6 +82,9 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.Writing != nil {
+		r.Writing()
+	}
 	resp, sent, err := p.exchange(ctx, c, r)
 	if err != nil {
 		if peerUnreachable(err) {
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -149,7 +149,7 @@
 		return closedResult("server left while the request waited")
 	}
 	sent := in.Clock.Now()
-	res := in.send(ctx, c, body, c.timeout-sent.Sub(arrived))
+	res := in.send(ctx, c, body, c.timeout-sent.Sub(arrived), func() { in.Queue.MarkSent(waiter) })
 	if res.outcome == shunt.AttemptAnswered {
 		in.Server.RecordResponse(sent)
 		took = in.Clock.Since(sent)
@@ -159,8 +159,10 @@
 	return res
 }
 
-// send forwards the request to the server and reads the whole response.
-func (in *Inbound) send(ctx context.Context, c *inboundCall, body []byte, timeout time.Duration) *inboundResult {
+// send forwards the request to the server and reads the whole response. It calls writing before it writes the request.
+func (in *Inbound) send(
+	ctx context.Context, c *inboundCall, body []byte, timeout time.Duration, writing func(),
+) *inboundResult {
 	if !c.terms.repeatable {
 		ctx = context.WithoutCancel(ctx)
 	}
@@ -173,7 +175,7 @@
 	})
 	req := &conns.Request{
 		Method: c.method, URI: c.uri, Host: c.host, Header: h, Body: body, Limit: maxResponseBytes,
-		ID: c.id, Share: c.share,
+		ID: c.id, Share: c.share, Writing: writing,
 		Own: func(status int, h http.Header) bool { return in.Codec.ParseServerResponse(status, h).ID == c.id },
 	}
 	if !c.terms.repeatable {
--- a/sched/cold_test.go
+++ b/sched/cold_test.go
@@ -1,6 +1,8 @@
 package sched_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +121,68 @@
 		)
 	}
 }
+
+// TestColdRateOfDelayedRequests guards against a cold server that receives more requests in a second than its rate
+// because some of them are sent long after they got their slots: their bodies arrive over links that lose packets, or
+// connections take time to open. The load is three times the rate; a body takes up to 400 ms.
+func TestColdRateOfDelayedRequests(t *testing.T) {
+	const (
+		perSecond = 15
+		cold      = 6 * time.Second
+		interval  = time.Second / (3 * perSecond)
+		step      = time.Millisecond
+	)
+	type delayed struct {
+		w      *sched.Waiter
+		sendAt time.Time
+	}
+	c := clockwork.NewFakeClock()
+	rng := rand.New(rand.NewPCG(5, 1))
+	q := newQueue(c, 9)
+	began := c.Now()
+	q.SetStartRate(perSecond, began.Add(cold))
+	var waiting []*sched.Waiter
+	var started []delayed
+	var sent []time.Time
+	for next := began; c.Since(began) < cold; c.Advance(step) {
+		now := c.Now()
+		q.SetLimit(9) // dispatches without waiting for the timer
+		if !now.Before(next) {
+			next = next.Add(interval)
+			if w, r := q.Submit(newRequest(c, time.Second, 2*time.Second)); r == nil {
+				waiting = append(waiting, w)
+			}
+		}
+		waiting = slices.DeleteFunc(waiting, func(w *sched.Waiter) bool {
+			if state(w) == "runs" {
+				delay := time.Duration(rng.IntN(20)) * time.Millisecond
+				if rng.IntN(4) == 0 {
+					delay += 380 * time.Millisecond
+				}
+				started = append(started, delayed{w, now.Add(delay)})
+			}
+			return state(w) != "waits"
+		})
+		started = slices.DeleteFunc(started, func(d delayed) bool {
+			if now.Before(d.sendAt) {
+				return false
+			}
+			q.MarkSent(d.w)
+			sent = append(sent, now)
+			q.Release(d.w, work)
+			return true
+		})
+	}
+	for i := range sent {
+		n := 1
+		for n < len(sent)-i && sent[i+n].Sub(sent[i]) < time.Second {
+			n++
+		}
+		if n > perSecond {
+			t.Fatalf("%d requests were sent in the second from %s, want at most %d", n, sent[i].Sub(began), perSecond)
+		}
+	}
+	if got, want := len(sent), int(0.8*perSecond*cold.Seconds()); got < want {
+		t.Errorf("%d requests were sent, want at least %d", got, want)
+	}
+}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -89,6 +89,7 @@
 	Waiter struct {
 		Request
 		holdUntil time.Time // a late request is held until then at the latest
+		sent      bool      // the request was sent to the server, see MarkSent
 		done      chan struct{}
 		refusal   *Refusal
 		resolved  bool
@@ -183,14 +184,35 @@
 	return w, nil
 }
 
+// MarkSent records that a running request is sent to the server now. The start limit counts requests from then on.
+func (q *Queue) MarkSent(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.markSent(w)
+}
+
+func (q *Queue) markSent(w *Waiter) {
+	if !w.sent {
+		w.sent = true
+		q.startLimiter.Sent(q.clock().Now())
+	}
+}
+
 // Release releases the slot of a request and dispatches the next one. A duration of zero is not counted in the mean
-// service time.
+// service time, and such a request counts as not sent unless MarkSent was called.
 func (q *Queue) Release(w *Waiter, took time.Duration) {
 	const weight = 0.05
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.running, w)
 	switch {
+	case w.sent:
+	case took > 0:
+		q.markSent(w)
+	default:
+		q.startLimiter.Cancel()
+	}
+	switch {
 	case took <= 0:
 	case q.meanWork == 0:
 		q.meanWork = took
@@ -297,7 +319,7 @@
 			q.running = make(map[*Waiter]time.Time)
 		}
 		q.running[w] = now
-		q.startLimiter.Record(now)
+		q.startLimiter.Start(now)
 		w.resolve(nil)
 	}
 }
