Add tsctl mesh and explain: status, moves and a request's course on the platform

Cause: an operator of hundreds of instances had grep, /state of single nodes and no answer to who is behind or what became of a request. Requests that were refused before a server was chosen, whose callers left, or whose node did not answer had no line of their own.

Change: nodes serve /v1/summary, /v1/nodes and /v1/lines on their listener for operators and name its address in their entries. tsctl mesh status, moves and node ask all nodes, 48 at a time; tsctl explain reads logs, or the newest 256 KiB of each node's lines. Each request now has one line that tells its end. Lines reach their writer whole: the handler wrote them in pieces, which the asynchronous writer could drop one by one.

TestOperatorsCommand asks real processes, also after a kill.

--- a/logger/logger.go
+++ b/logger/logger.go
@@ -11,7 +11,7 @@
 // Configure makes the process-wide logger write to w at the given minimum level: debug, info, warn or error. An empty
 // or unknown level means info.
 func Configure(w io.Writer, level string) {
-	log.SetHandler(logfmt.New(w))
+	log.SetHandler(logfmt.New(&lineWriter{out: w}))
 	log.SetLevel(log.InfoLevel)
 	if parsed, err := log.ParseLevel(level); err == nil {
 		log.SetLevel(parsed)
--- a/mesh/main.go
+++ b/mesh/main.go
@@ -61,7 +61,8 @@
 	}
 	out := logger.NewAsyncWriter(os.Stdout)
 	defer out.Close()
-	logger.Configure(out, settings.LogLevel)
+	recent := logger.NewRecent(out, clockwork.NewRealClock())
+	logger.Configure(recent, settings.LogLevel)
 	debug.SetGCPercent(gcPercent)
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * settings.Memory * (1 << 20)))
@@ -69,7 +70,7 @@
 	app := fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(time.Duration(settings.Bounds.Grace*float64(time.Second))),
-		fx.Supply(settings),
+		fx.Supply(settings, recent),
 		fx.Provide(
 			clockwork.NewRealClock,
 			newAdapter,
@@ -87,7 +88,7 @@
 	return 0
 }
 
-func newAdapter(s params.MeshNode) meshd.Adapter {
+func newAdapter(s params.MeshNode, recent *logger.Recent) meshd.Adapter {
 	store := platform.NewStore(s.Store.Address, platform.Dial)
 	return meshd.Adapter{
 		Codec:    platform.HeaderCodec{},
@@ -96,6 +97,8 @@
 		Servers:  func(n *meshd.Node) http.Handler { return platform.ServerHandler(n) },
 		Ready:    func(n *meshd.Node) http.Handler { return platform.ReadyHandler(n) },
 		Reload:   func(s params.MeshNode) { store.SetAddress(s.Store.Address) },
+
+		RecentLines: recent.Find,
 	}
 }
 
--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/conns"
 	"tanagershunt.example/shunt/place"
@@ -204,6 +206,7 @@
 		position: o.View.formatPosition(),
 	}
 	c.nodesAsked++
+	c.lastServer = entry.Server
 	number := node.startRequest(now)
 	var res *inboundResult
 	if entry.Calls == o.Self {
@@ -224,6 +227,12 @@
 	if node.endRequest(number, end, res.load, reachable, failed, res.delivered && ctx.Err() == nil) {
 		o.Reconnector.enqueue(node, res.reason)
 	}
+	if !res.responded {
+		log.WithFields(log.Fields{
+			"request": c.id, "node": entry.Calls, "server": entry.Server, "outcome": res.outcome, "reason": res.reason,
+			"took": end.Sub(now),
+		}).Info("node did not answer request")
+	}
 	if res.serverClosed {
 		node.pause(end, closedServerPause)
 	}
--- a/meshd/begun.go
+++ b/meshd/begun.go
@@ -49,7 +49,10 @@
 // Cancel implements proxy.Begun.
 func (b *begunCall) Cancel() {
 	b.cancel()
-	go b.release()
+	go func() {
+		b.release()
+		b.call.logEnded(0, b.res.outcome, "connection closed before the turn of the request: "+b.res.reason)
+	}()
 }
 
 // release returns the memory of the call when it has ended.
@@ -67,7 +70,8 @@
 	select {
 	case <-b.done:
 	case <-ctx.Done():
-		panic(http.ErrAbortHandler)
+		b.cancel()
+		<-b.done
 	}
 	b.call.finish(b.ctx, w, b.res)
 }
--- a/meshd/node.go
+++ b/meshd/node.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/gin-gonic/gin"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
@@ -70,6 +69,9 @@
 		Ready   func(*Node) http.Handler
 		// Reload is called with changed settings.
 		Reload func(params.MeshNode)
+		// RecentLines returns the recent log lines that contain one of the texts, and the time from which on lines are
+		// remembered. It may be nil.
+		RecentLines func(texts ...string) ([]string, time.Time)
 	}
 
 	// Node is a running node.
@@ -129,6 +131,7 @@
 	n.sync = &StateSync{
 		Peers:      peers,
 		Control:    s.Listeners.ControlAddress(),
+		Operators:  reachableAddress(s.Listeners.Operators),
 		Link:       int(s.Link),
 		feed:       n.feed,
 		Clock:      c,
@@ -183,6 +186,14 @@
 	return n
 }
 
+// reachableAddress returns the address of a listener, or an empty text if others cannot connect to it by that address.
+func reachableAddress(listener string) string {
+	if err := checkNodeAddress("listener", listener); err != nil {
+		return ""
+	}
+	return listener
+}
+
 func coldBounds(b params.Bounds) ColdBounds {
 	return ColdBounds{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack}
 }
@@ -416,13 +427,4 @@
 	return n.outbound.Begin(ctx, r)
 }
 
-// operatorHandler serves the metrics and the state of the node.
-func (n *Node) operatorHandler() http.Handler {
-	gin.SetMode(gin.ReleaseMode)
-	e := gin.New()
-	e.GET("/metrics", func(c *gin.Context) { n.meter.Set().WritePrometheus(c.Writer) })
-	e.GET("/state", func(c *gin.Context) { c.JSON(http.StatusOK, n.state()) })
-	return e
-}
-
 func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -83,9 +83,10 @@
 		deadline        time.Time
 		callerDeadline  time.Time // when the caller gives up; may be after deadline, which the route's timeout limits
 		latencyTargetAt time.Time
-		attempts        int  // deliveries of the request to servers
-		nodesAsked      int  // requests sent to nodes
-		mayHaveRun      bool // a server may have run the request
+		attempts        int    // deliveries of the request to servers
+		nodesAsked      int    // requests sent to nodes
+		mayHaveRun      bool   // a server may have run the request
+		lastServer      string // of the last node asked
 	}
 
 	// retryBudgets holds the retry budget of each service.
@@ -111,12 +112,12 @@
 	}
 	table := o.View.AwaitTable(r.Context(), o.configWait(caller.Deadline))
 	if table == nil {
-		o.refuse(w, caller.ID, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
+		o.reject(w, caller.ID, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
 		return
 	}
 	entry := table.Match(stripPort(r.Host), r.URL.Path)
 	if entry == nil {
-		o.refuse(w, caller.ID, http.StatusNotFound, "no route", 0)
+		o.reject(w, caller.ID, http.StatusNotFound, "no route", 0)
 		return
 	}
 	limit := table.Config().Limits.BodyBytes
@@ -197,6 +198,7 @@
 	case res.outcome == shunt.AttemptAnswered:
 		writeResponse(w, res)
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.Canceled):
+		c.logEnded(0, res.outcome, "caller left: "+res.reason)
 		panic(http.ErrAbortHandler)
 	case res.outcome == shunt.AttemptNotRun:
 		status = http.StatusServiceUnavailable
@@ -209,10 +211,17 @@
 		o.refuse(w, c.id, status, res.reason, 0)
 	}
 	o.Meter.countRequest(status, took)
+	c.logEnded(status, res.outcome, res.reason)
+}
+
+// logEnded logs the end of the request. A status of 0 means that no response was written.
+func (c *call) logEnded(status int, outcome shunt.AttemptOutcome, reason string) {
+	now := c.outbound.Clock.Now()
 	log.WithFields(log.Fields{
 		"request": c.id, "route": c.route.Name, "service": c.service, "config": c.configVersion, "status": status,
-		"outcome": res.outcome, "reason": res.reason, "attempts": c.attempts, "nodes": c.nodesAsked, "took": took,
-		"left": c.deadline.Sub(o.Clock.Now()), "bytes": len(c.body),
+		"outcome": outcome, "reason": reason, "attempts": c.attempts, "nodes": c.nodesAsked, "server": c.lastServer,
+		"took": now.Sub(c.arrived),
+		"left": c.deadline.Sub(now), "bytes": len(c.body),
 	}).Info("request ended")
 }
 
@@ -245,6 +254,13 @@
 	}
 }
 
+// reject refuses a request for which no server was chosen, and logs that.
+func (o *Outbound) reject(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration) {
+	o.refuse(w, id, status, reason, retryAfter)
+	log.WithFields(log.Fields{"request": id, "status": status, "reason": reason, "retry_after": retryAfter}).
+		Info("request rejected")
+}
+
 // refuse writes the node's own response to a request that got none from a server.
 func (o *Outbound) refuse(w http.ResponseWriter, id string, status int, reason string, retryAfter time.Duration) {
 	o.Codec.SetRefusalHeaders(w.Header(), id, retryAfter)
@@ -259,26 +275,26 @@
 	if _, err := io.CopyN(io.Discard, r.Body, maxDiscardBytes); err != nil && !errors.Is(err, io.EOF) {
 		log.WithError(err).WithField("request", id).Debug("caller disconnected while sending an oversized body")
 	}
-	o.refuse(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
+	o.reject(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
 }
 
 // refuseUnreadable refuses a request whose body could not be read.
 func (o *Outbound) refuseUnreadable(w http.ResponseWriter, id string, err error) {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		o.refuse(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
+		o.reject(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
 		return
 	}
 	if errors.Is(err, quota.ErrExhausted) {
 		w.Header()["Connection"] = []string{"close"}
-		o.refuse(w, id, http.StatusServiceUnavailable, err.Error(), notReadyRetryAfter)
+		o.reject(w, id, http.StatusServiceUnavailable, err.Error(), notReadyRetryAfter)
 		return
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header()["Connection"] = []string{"close"}
-	o.refuse(w, id, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
+	o.reject(w, id, http.StatusBadRequest, "body can't be read: "+err.Error(), 0)
 }
 
 // forService returns the retry budget of a service, with this node's share of the bounds for the whole mesh.
--- a/meshd/record.go
+++ b/meshd/record.go
@@ -38,21 +38,22 @@
 
 // nodeEntry is the state that a node publishes about itself and its backend server, as a record of the mesh topic.
 type nodeEntry struct {
-	Calls    string `json:"calls"`   // address of the node for requests of other nodes, identifies the entry
-	Control  string `json:"control"` // address of the node's feed
-	Link     int    `json:"link"`    // bandwidth of the node's link, megabits per second
-	Domain   string `json:"domain"`
-	Service  string `json:"service"`
-	Server   string `json:"server"` // identifier
-	Born     int64  `json:"born"`
-	Sequence int64  `json:"seq"`
-	Version  string `json:"version"`
-	Since    int64  `json:"since"` // start of the first server of this version here, milliseconds since the epoch
-	Slots    int    `json:"slots"`
-	Leaving  bool   `json:"leaving,omitempty"`
-	ColdMS   int64  `json:"coldMs,omitempty"`
-	Started  int64  `json:"started"` // start of the node, nanoseconds since the epoch
-	Stopping bool   `json:"stopping,omitempty"`
+	Calls     string `json:"calls"`               // address of the node for requests of other nodes, identifies the entry
+	Control   string `json:"control"`             // address of the node's feed
+	Operators string `json:"operators,omitempty"` // address of the node for operators
+	Link      int    `json:"link"`                // bandwidth of the node's link, megabits per second
+	Domain    string `json:"domain"`
+	Service   string `json:"service"`
+	Server    string `json:"server"` // identifier
+	Born      int64  `json:"born"`
+	Sequence  int64  `json:"seq"`
+	Version   string `json:"version"`
+	Since     int64  `json:"since"` // start of the first server of this version here, milliseconds since the epoch
+	Slots     int    `json:"slots"`
+	Leaving   bool   `json:"leaving,omitempty"`
+	ColdMS    int64  `json:"coldMs,omitempty"`
+	Started   int64  `json:"started"` // start of the node, nanoseconds since the epoch
+	Stopping  bool   `json:"stopping,omitempty"`
 }
 
 // decodeEntry decodes and validates the entry of the node with the given address.
@@ -67,8 +68,13 @@
 	if err := checkNodeAddress("address", e.Calls); err != nil {
 		return e, err
 	}
-	if e.Control != "" {
-		if err := checkNodeAddress("address of the feed", e.Control); err != nil {
+	for _, f := range []struct{ name, value string }{
+		{"address of the feed", e.Control}, {"address for operators", e.Operators},
+	} {
+		if f.value == "" {
+			continue
+		}
+		if err := checkNodeAddress(f.name, f.value); err != nil {
 			return e, err
 		}
 	}
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -44,6 +44,7 @@
 	Peers     *peer.Pool // connections to other nodes' feeds
 	Self      string     // address of this node for requests of other nodes
 	Control   string     // address of this node's feed
+	Operators string     // address of this node for operators
 	Link      int        // megabits per second
 	Domain    string
 	Meter     *Meter
@@ -220,21 +221,22 @@
 		since = min(since, prev.Since)
 	}
 	return nodeEntry{
-		Calls:    s.Self,
-		Control:  s.Control,
-		Link:     s.Link,
-		Domain:   s.Domain,
-		Service:  r.Service,
-		Server:   r.ID,
-		Born:     r.Born,
-		Sequence: r.Sequence,
-		Version:  r.Version,
-		Since:    since,
-		Slots:    r.Slots,
-		Leaving:  r.Leaving,
-		ColdMS:   s.Server.ColdRemaining().Milliseconds(),
-		Started:  s.StartedAt,
-		Stopping: stopping,
+		Calls:     s.Self,
+		Control:   s.Control,
+		Operators: s.Operators,
+		Link:      s.Link,
+		Domain:    s.Domain,
+		Service:   r.Service,
+		Server:    r.ID,
+		Born:      r.Born,
+		Sequence:  r.Sequence,
+		Version:   r.Version,
+		Since:     since,
+		Slots:     r.Slots,
+		Leaving:   r.Leaving,
+		ColdMS:    s.Server.ColdRemaining().Milliseconds(),
+		Started:   s.StartedAt,
+		Stopping:  stopping,
 	}
 }
 
--- a/oper/command.go
+++ b/oper/command.go
@@ -23,6 +23,7 @@
 	exitNotPublished = 5 // not published: for example, the log is unavailable
 	exitUnknown      = 6 // may have been published: query again with the same identifier
 	exitTimeout      = 7 // not in force everywhere in time
+	exitIncomplete   = 8 // some nodes did not answer, or a request's outcome is not known
 )
 
 const (
@@ -33,14 +34,17 @@
 
 const helpText = `
 Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 rejected, 4 conflict, 5 not published,
-6 unknown (ask again with the same identifier), 7 not in force everywhere in time.
+6 unknown (ask again with the same identifier), 7 not in force everywhere in time,
+8 some nodes did not answer, or what became of a request is not known.
 
 Examples:
   tsctl validate ./objects
   tsctl publish ./objects --wait
   tsctl get route/browse
   tsctl take-out attica-1 --wait
-  tsctl report catalogue --format svg > catalogue.svg`
+  tsctl report catalogue --format svg > catalogue.svg
+  tsctl -n 10.1.0.7:7620 mesh status
+  tsctl explain e804db2c050b6e5d logs/*.log`
 
 type (
 	// command holds the parsed arguments, the output writers and the API client.
@@ -68,7 +72,8 @@
 	p := flaggy.NewParser("tsctl")
 	p.Description = "publish configuration of a tanagershunt fleet and read back what is in force"
 	p.AdditionalHelpAppend = helpText
-	p.String(&c.node, "n", "node", "address of a node's operators listener, ip:port (environment: TSCTL_NODE)")
+	p.String(&c.node, "n", "node", "address of a node's operators listener, ip:port; mesh and explain take several, "+
+		"separated by commas (environment: TSCTL_NODE)")
 	p.Bool(&c.json, "j", "json", "print JSON")
 	p.Duration(&c.timeout, "t", "timeout", "bound on the whole command")
 	subcommands := c.subcommands()
@@ -98,7 +103,7 @@
 	all = append(all, c.publishSubcommands()...)
 	all = append(all, c.domainSubcommands()...)
 	all = append(all, c.readSubcommands()...)
-	return append(all, c.reportSubcommand())
+	return append(all, c.reportSubcommand(), c.meshSubcommand(), c.explainSubcommand())
 }
 
 func newSubcommand(name, description string, run func(ctx context.Context) int) subcommand {
