Remove the mesh's own headers from responses of servers

Cause: found by reading what a hostile server can send. Headers that nodes send each other (Tanager-Server, -Held, -Wait-Ms) passed from a server's response to the sending node, where the node had not set them itself: a server could count as closed, or send a repeat to the other version of a move.

Change: proxy.StripTanagerHeaders also on responses of servers.

Measured: platform.TestMeshHeadersOfServer, one server: 9 of 10 requests in a row were refused before, none now.

--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -198,9 +198,11 @@
 	case !reply.Signed && resp.Status < http.StatusBadRequest:
 		return &inboundResult{outcome: shunt.AttemptUnknown, delivered: true, reason: "answer is not signed"}
 	}
+	// A server must not speak for its node.
+	header := proxy.EndToEndHeaders(resp.Header)
+	proxy.StripTanagerHeaders(header)
 	return &inboundResult{
-		outcome: shunt.AttemptAnswered, delivered: true, status: resp.Status,
-		header: proxy.EndToEndHeaders(resp.Header), body: resp.Body,
+		outcome: shunt.AttemptAnswered, delivered: true, status: resp.Status, header: header, body: resp.Body,
 	}
 }
 
