Go on to other nodes when servers have left during an outage of the store

While the store was away servers left, which other nodes learn from refusals only. Each refusal counted as one of four nodes that a request may ask, and was forgotten after 0.1 s, so that requests got 503 while servers of other failure domains were usable.

Change: a refusal says that its server has left; the sender pauses it for 2 s or until its node's next entry. Refusals regardless of the load do not count as attempts, at most 8 for a request. tsctl explain counts lines with the request's identifier that are not log lines instead of giving up on a file.

--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -37,6 +37,12 @@
 	// closedServerPause is the time during which no requests are sent to a server after its node refused one regardless
 	// of the load.
 	closedServerPause = 100 * time.Millisecond
+	// leftServerPause is the time during which no requests are sent to a server that has left, by the refusal of its node.
+	// The node's next entry ends it. During an outage of the store there is none, and a server may return.
+	leftServerPause = 2 * time.Second
+	// maxClosedNodes bounds the refusals regardless of the load for one call. They cost a round trip and no queue time, so
+	// they do not count as attempts: during an outage of the store many servers may leave without their senders' notice.
+	maxClosedNodes = 8
 )
 
 // dispatch sends the request to nodes until a server responds or no further attempt is allowed or possible.
@@ -49,8 +55,9 @@
 	excluded := make(map[string]bool)       // addresses that get no further request
 	queuedBefore := false                   // a node refused the request after more than queuedMaxWait in its queue
 	result := notRunResult("no server of " + c.service + " is known")
-	for c.nodesAsked < maxNodeAttempts && ctx.Err() == nil {
-		lastAttempt := c.nodesAsked == maxNodeAttempts-1
+	closed := 0 // refusals regardless of the load
+	for c.nodesAsked-closed < maxNodeAttempts && closed <= maxClosedNodes && ctx.Err() == nil {
+		lastAttempt := c.nodesAsked-closed == maxNodeAttempts-1
 		node, choice, ok := c.chooseNode(version, singleServer, lastAttempt, waits, excluded)
 		if trial && (!ok || len(waits) > 0) {
 			// No node of the new version is left, or one has already refused or failed. A share of 0 selects the old
@@ -88,6 +95,9 @@
 		if res.versionMoved {
 			version, trial, singleServer = o.View.otherVersion(c.service, version), false, false
 		}
+		if res.serverClosed {
+			closed++
+		}
 		waits[addr] = max(res.wait, time.Millisecond)
 		queuedBefore = queuedBefore || res.queued
 		result = preferAnswered(result, res)
@@ -233,7 +243,10 @@
 			"took": end.Sub(now),
 		}).Info("node did not answer request")
 	}
-	if res.serverClosed {
+	switch {
+	case res.serverLeft:
+		node.pause(end, leftServerPause)
+	case res.serverClosed:
 		node.pause(end, closedServerPause)
 	}
 	if res.outcome == shunt.AttemptAnswered {
--- a/meshd/attempt_test.go
+++ b/meshd/attempt_test.go
@@ -137,3 +137,31 @@
 		t.Errorf("got %s (%s), want a response of the new version", res.outcome, res.reason)
 	}
 }
+
+// TestLeftServerPause guards against requests that are sent again and again to a server that has left, and against a
+// server that returns and gets none: the next entry of its node, which tells of it, ends the pause.
+func TestLeftServerPause(t *testing.T) {
+	now := time.Unix(1_770_000_000, 0)
+	p := &peerNode{}
+	p.update(nodeEntry{Calls: "10.0.0.2:1", Server: "i-2", Born: 5, Sequence: 7, Slots: 4}, now)
+	p.pause(now, leftServerPause)
+	usable := func(after time.Duration) bool {
+		_, ok := p.candidate(now.Add(after), "a")
+		return ok
+	}
+	if usable(leftServerPause - time.Millisecond) {
+		t.Error("the server that left gets requests")
+	}
+	p.update(nodeEntry{Calls: "10.0.0.2:1", Server: "i-2", Born: 5, Sequence: 7, Slots: 4}, now)
+	if usable(time.Second) {
+		t.Error("the entry from before it left is enough for requests")
+	}
+	p.update(nodeEntry{Calls: "10.0.0.2:1", Server: "i-2", Born: 5, Sequence: 8, Slots: 4, Leaving: true}, now)
+	if usable(time.Second) {
+		t.Error("the entry of a leaving server is enough for requests")
+	}
+	p.update(nodeEntry{Calls: "10.0.0.2:1", Server: "i-2", Born: 5, Sequence: 9, Slots: 4}, now)
+	if !usable(time.Second) {
+		t.Error("the server has returned and gets no requests")
+	}
+}
--- a/meshd/call.go
+++ b/meshd/call.go
@@ -32,6 +32,7 @@
 // Values of headerServer in a refusal.
 const (
 	closedValue = "closed"
+	leftValue   = "left"
 	movedValue  = "moved"
 )
 
@@ -80,6 +81,7 @@
 		load         *loadReport
 		position     string
 		serverClosed bool // the server accepts no requests, whatever its load
+		serverLeft   bool // the server is leaving or another one is in its place
 		versionMoved bool // the move in progress allows no requests at the server's version
 		queued       bool // the request waited longer than queuedMaxWait before it was refused
 	}
@@ -210,6 +212,8 @@
 	switch {
 	case r.versionMoved:
 		h[headerServer] = []string{movedValue}
+	case r.serverLeft:
+		h[headerServer] = []string{leftValue}
 	case r.serverClosed:
 		h[headerServer] = []string{closedValue}
 	}
@@ -223,7 +227,8 @@
 		queued: h.Get(headerQueued) != "", position: h.Get(proxy.HeaderConfigOffset),
 	}
 	r.versionMoved = h.Get(headerServer) == movedValue
-	r.serverClosed = r.versionMoved || h.Get(headerServer) == closedValue
+	r.serverLeft = h.Get(headerServer) == leftValue
+	r.serverClosed = r.versionMoved || r.serverLeft || h.Get(headerServer) == closedValue
 	if wait, err := parseMillis(h.Get(headerWait)); err == nil && wait > 0 {
 		r.wait = wait
 	}
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -105,8 +105,10 @@
 func (in *Inbound) execute(ctx context.Context, c *inboundCall, arrived time.Time) *inboundResult {
 	report, usable := in.Server.Current()
 	switch {
+	case report.ID == "":
+		return closedResult("server " + c.server + " has not reported yet")
 	case !usable || report.ID != c.server:
-		return closedResult("server " + c.server + " is not here or leaves")
+		return leftResult("server " + c.server + " is not here or leaves")
 	case in.View.IsEvacuated(in.Domain):
 		return closedResult("failure domain is out")
 	case !in.View.allowsVersion(report.Service, report.Version):
@@ -145,8 +147,11 @@
 		return notRunResult("body can't be read: " + err.Error())
 	}
 	// The server may have left, or its failure domain been evacuated, while the request was queued.
-	if current, ok := in.Server.Current(); !ok || current.ID != c.server || in.View.IsEvacuated(in.Domain) {
-		return closedResult("server left while the request waited")
+	if current, ok := in.Server.Current(); !ok || current.ID != c.server {
+		return leftResult("server left while the request waited")
+	}
+	if in.View.IsEvacuated(in.Domain) {
+		return closedResult("failure domain went out while the request waited")
 	}
 	sent := in.Clock.Now()
 	res := in.send(ctx, c, body, c.timeout-sent.Sub(arrived), func() { in.Queue.MarkSent(waiter) })
@@ -189,7 +194,7 @@
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		in.Server.MarkReplaced(c.server)
-		return closedResult("another server answers at the address: " + reply.Server)
+		return leftResult("another server answers at the address: " + reply.Server)
 	case reply.NotRun:
 		return &inboundResult{
 			outcome: shunt.AttemptNotRun, delivered: true,
@@ -247,6 +252,13 @@
 	return r
 }
 
+// leftResult returns the refusal of a server that takes no requests any more.
+func leftResult(reason string) *inboundResult {
+	r := closedResult(reason)
+	r.serverLeft = true
+	return r
+}
+
 func refusedResult(r *sched.Refusal) *inboundResult {
 	res := notRunResult(r.Error())
 	res.wait = r.Wait
--- a/meshd/peer.go
+++ b/meshd/peer.go
@@ -86,6 +86,9 @@
 		p.unreachable, p.pausedUntil, p.failureRate = false, time.Time{}, 0
 		p.load, p.loadAt = loadReport{}, time.Time{}
 	}
+	if e.Sequence > p.entry.Sequence && !e.Leaving {
+		p.pausedUntil = time.Time{} // see leftServerPause
+	}
 	p.entry, p.entryAt = e, now
 	p.coldUntil = now.Add(time.Duration(e.ColdMS) * time.Millisecond)
 }
--- a/oper/explain.go
+++ b/oper/explain.go
@@ -50,7 +50,7 @@
 			return c.fail(err)
 		}
 	}
-	x := trail.Explain(id, filter.Events())
+	x := filter.Explain()
 	x.Unknown = append(x.Unknown, missing...)
 	code := exitOK
 	if x.Outcome == trail.OutcomeMissing {
@@ -131,9 +131,7 @@
 			from = lines.Since
 		}
 		for _, line := range lines.Lines {
-			if err := filter.Add(lines.Node, line); err != nil {
-				missing = append(missing, fmt.Sprintf("a line of node %s: %v", lines.Node, err))
-			}
+			filter.Add(lines.Node, line)
 		}
 	})
 	if answered > 0 {
--- a/trail/explain.go
+++ b/trail/explain.go
@@ -42,9 +42,17 @@
 	}
 )
 
-// Explain explains the request with an identifier from lines of all nodes that were selected by a Filter for it.
-func Explain(id string, events []Event) *Explanation {
+// Explain explains the request from the lines that were added.
+func (f *Filter) Explain() *Explanation {
+	id, events := f.id, f.events
 	x := &Explanation{Request: id, Outcome: OutcomeMissing}
+	if f.unreadable > 0 {
+		x.Unknown = append(
+			x.Unknown,
+			fmt.Sprintf("what %d further lines with this identifier mean; they are not log lines "+
+				"of a node", f.unreadable),
+		)
+	}
 	slices.SortStableFunc(events, func(a, b Event) int { return a.At.Compare(b.At) })
 	var own, end []Event
 	for _, e := range events {
