Compare positions between failure domains once a second

Positions travel with requests only, and all requests of that domain's callers were served within it.

Change: a node that reads the store for a failure domain other than the two that monitor it asks a node of these for its position each second; a position that is ahead ends the call as before.

--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -42,7 +42,7 @@
 
 type (
 	// Feed serves the records that a node has read from the store to other nodes, so that one read serves many nodes.
-	// Its methods Follow and Tally are called with net/rpc.
+	// Its methods Follow, Tally and Position are called with net/rpc.
 	Feed struct {
 		clock clockwork.Clock
 		view  *MeshView
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -93,6 +93,7 @@
 	}
 	wg.Go(func() { s.publishLoop(ctx) })
 	wg.Go(func() { s.staleEntryLoop(ctx) })
+	wg.Go(func() { s.positionLoop(ctx) })
 	wg.Wait()
 }
 
--- a/meshd/sync_test.go
+++ b/meshd/sync_test.go
@@ -137,6 +137,33 @@
 	)
 }
 
+// TestReaderComparesPositions guards against a failure domain that misses a configuration for as long as its reader's call
+// to the store is not answered: requests of its callers stay within it, so that no other node tells it what it has missed.
+func TestReaderComparesPositions(t *testing.T) {
+	store := newFakeStore()
+	storeOrders(t, store, configRecord(1))
+	monitor := testSync(t, store, "10.0.0.1:1")
+	t.Cleanup(serveFeed(t, monitor))
+	reader := testSync(t, store, "10.0.0.3:1")
+	reader.Domain = "c"
+	second := monitor.ownEntry()
+	second.Calls, second.Domain = "10.0.0.2:1", "b"
+	for _, e := range []nodeEntry{monitor.ownEntry(), second} {
+		reader.View.setEntry(e)
+	}
+	runSync(t, reader)
+	waitFor(t, time.Second, "first configuration", func() bool { return activeConfig(reader) == 1 })
+	time.Sleep(2 * readInterval)
+	store.mu.Lock() // no waiting read is notified of the change
+	store.topics["orders"] = append(store.topics["orders"], shunt.KeyedRecord{
+		Key: "config", Value: configRecord(2).Value, Offset: int64(len(store.topics["orders"])),
+	})
+	store.mu.Unlock()
+	monitor.View.SetConfig(&shunt.MeshConfig{Version: 2})
+	waitFor(t, 2500*time.Millisecond, "configuration of the other failure domain",
+		func() bool { return activeConfig(reader) == 2 })
+}
+
 // TestColdRateAfterConfig checks that a cold server that reported before the first configuration gets its configured
 // rate as soon as that configuration is in force.
 func TestColdRateAfterConfig(t *testing.T) {
