Build a node's state dump from its summary

Cause: /state and /v1/summary held the same fields in two types. The dump now embeds the summary; its moves are a list and the cold time is in milliseconds. No caller of the old form in the repository.

--- a/meshd/state.go
+++ b/meshd/state.go
@@ -3,57 +3,29 @@
 import (
 	"time"
 
-	"tanagershunt.example/shunt/shift"
+	"tanagershunt.example/shunt/opapi"
 )
 
 type (
-	// nodeState is the state of a node as served to operators.
-	nodeState struct {
-		Name     string                  `json:"name"`
-		Version  uint64                  `json:"configuration"`
-		Ready    bool                    `json:"ready"`
-		Server   serverState             `json:"server"`
-		Nodes    []entryState            `json:"nodes"`
-		Out      []string                `json:"failureDomainsOut"`
-		Moves    map[string]shift.Record `json:"moves"`
-		Settings any                     `json:"settings"`
-	}
-
-	serverState struct {
-		ID      string `json:"id"`
-		Version string `json:"version"`
-		Usable  bool   `json:"usable"`
-		Leaving bool   `json:"leaving"`
-		Running int    `json:"running"`
-		Queued  int    `json:"queued"`
-		Limit   int    `json:"limit"`
-		Cold    string `json:"cold"`
+	// stateDump is the state of a node with all it knows of others and its settings, for operators.
+	stateDump struct {
+		opapi.MeshSummary
+		Nodes    []entryState `json:"nodes"`
+		Settings any          `json:"settings"`
 	}
 
 	entryState struct {
 		nodeEntry
 		Running int       `json:"running"`
 		Queued  int       `json:"queued"`
-		Mine    int       `json:"mine"`
+		Mine    int       `json:"mine"` // requests of this node without an answer
 		Failing float64   `json:"failing"`
 		Until   time.Time `json:"leftAloneUntil"`
 	}
 )
 
-func (n *Node) state() nodeState {
-	s := nodeState{
-		Name: n.settings.Load().Name, Ready: n.IsReady(), Moves: make(map[string]shift.Record),
-		Settings: n.settings.Load(),
-	}
-	if t := n.view.Table(); t != nil {
-		s.Version = t.Config().Version
-	}
-	report, usable := n.server.Current()
-	load, _ := n.queue.Load()
-	s.Server = serverState{
-		ID: report.ID, Version: report.Version, Usable: usable, Leaving: report.Leaving, Running: load.InFlight,
-		Queued: load.Queued, Limit: load.Limit, Cold: n.server.ColdRemaining().String(),
-	}
+func (n *Node) state() stateDump {
+	s := stateDump{MeshSummary: n.summary(), Settings: n.settings.Load()}
 	n.view.mu.RLock()
 	defer n.view.mu.RUnlock()
 	for _, p := range n.view.peers {
@@ -68,13 +40,5 @@
 		})
 		p.mu.Unlock()
 	}
-	for domain, out := range n.view.evacuated {
-		if out {
-			s.Out = append(s.Out, domain)
-		}
-	}
-	for service, m := range n.view.moves {
-		s.Moves[service] = m.Record
-	}
 	return s
 }
