--- a/oper/mesh.go
+++ b/oper/mesh.go
@@ -25,18 +25,27 @@
   tsctl -n 10.1.0.7:7620 mesh moves
   tsctl -n 10.1.0.7:7620 mesh node sidecar-attica-a-1 --json`
 
-// serverCount counts the backend servers of one service, version and failure domain.
-type serverCount struct {
-	Service string `json:"service"`
-	Version string `json:"version"`
-	Domain  string `json:"failureDomain"`
-	Usable  int    `json:"usable"`
-	Cold    int    `json:"cold"`
-	Leaving int    `json:"leaving"`
-	Running int    `json:"running"`
-	Queued  int    `json:"queued"`
-	Slots   int    `json:"slots"`
-}
+type (
+	// serverCount counts the backend servers of one service, version and failure domain.
+	serverCount struct {
+		Service string `json:"service"`
+		Version string `json:"version"`
+		Domain  string `json:"failureDomain"`
+		Usable  int    `json:"usable"`
+		Cold    int    `json:"cold"`
+		Leaving int    `json:"leaving"`
+		Running int    `json:"running"` // requests
+		Queued  int    `json:"queued"`  // requests
+		Slots   int    `json:"slots"`
+	}
+
+	// knownMove is a move as the nodes know it.
+	knownMove struct {
+		opapi.MeshMove
+		Nodes int `json:"nodes"` // that know this phase
+		Other int `json:"other"` // that know an earlier phase or order, or none
+	}
+)
 
 func (c *command) meshSubcommand() subcommand {
 	mesh := flaggy.NewSubcommand("mesh")
@@ -166,13 +175,6 @@
 	return slices.Compact(list)
 }
 
-// knownMove is a move as the nodes know it.
-type knownMove struct {
-	opapi.MeshMove
-	Nodes int `json:"nodes"` // that know this phase
-	Other int `json:"other"` // that know an earlier phase or order, or none
-}
-
 // moves returns the newest state of each service's move. Evidence is that of the node with most answers.
 func (s *survey) moves() []knownMove {
 	newest := make(map[string]*knownMove)
--- a/oper/survey.go
+++ b/oper/survey.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -43,7 +44,7 @@
 		if askErr == nil {
 			return address, list.Nodes, nil
 		}
-		err = fmt.Errorf("node %s: %w", address, askErr)
+		err = errors.Join(err, fmt.Errorf("node %s: %w", address, askErr))
 	}
 	return "", nil, err
 }
