Log and count what each node sends to the versions of a move

A bad version got more requests than its allowance, and the logs had no figure to add up: answers in "move decided" leaves out cold servers and what was not reported to the deciding node. "move changed" now has sent and sent_new, side_move_requests_total counts the same. No decision changes.

--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -226,6 +226,9 @@
 	}
 	if res.delivered {
 		c.attempts++
+		if newVersion, moving := o.View.countSent(c.service, entry.Version); moving {
+			o.Meter.countMoveRequest(newVersion)
+		}
 	}
 	end := o.Clock.Now()
 	failed := res.outcome == shunt.AttemptUnknown || res.delivered && res.outcome == shunt.AttemptNotRun ||
--- a/meshd/meter.go
+++ b/meshd/meter.go
@@ -35,6 +35,15 @@
 	m.set.GetOrCreateCounter(`side_refusals_total{reason=` + strconv.Quote(reasonLabel(reason)) + `}`).Inc()
 }
 
+// countMoveRequest counts a request that was sent to a server of a service whose move was ordered.
+func (m *Meter) countMoveRequest(newVersion bool) {
+	label := "old"
+	if newVersion {
+		label = "new"
+	}
+	m.increment(`side_move_requests_total{version="` + label + `"}`)
+}
+
 // reasonLabel returns a reason without the parts that vary by request, so that the number of series stays bounded: the
 // error after a colon, and words that may be identifiers, addresses or numbers.
 func reasonLabel(reason string) string {
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -45,6 +45,8 @@
 		moves     map[string]*moveState
 		peers     map[string]*peerNode // by address as in nodeEntry.Calls, including this node
 		tallies   map[string]map[string]*shift.AnswerCounts
+		// allowances holds what this node has sent since the order of a service's move.
+		allowances map[string]*shift.Allowance
 	}
 
 	moveState struct {
@@ -64,6 +66,7 @@
 		moves:      make(map[string]*moveState),
 		peers:      make(map[string]*peerNode),
 		tallies:    make(map[string]map[string]*shift.AnswerCounts),
+		allowances: make(map[string]*shift.Allowance),
 	}
 }
 
@@ -141,9 +144,14 @@
 		return
 	}
 	v.moves[service] = &moveState{Record: r, phaseSince: v.clock.Now()}
-	log.WithFields(log.Fields{
+	fields := log.Fields{
 		"service": service, "from": r.From, "version": r.Target, "phase": r.Phase, "order": r.Order, "reason": r.Why,
-	}).Info("move changed")
+	}
+	if o, ok := v.orders[service]; ok && o.Offset == r.Order {
+		a := v.allowance(service, r.Order)
+		fields["elapsed"], fields["sent"], fields["sent_new"] = v.clock.Since(v.orderedAt[service]), a.Total(), a.Exposed()
+	}
+	log.WithFields(fields).Info("move changed")
 }
 
 func (v *MeshView) setTally(service, node string, t *shift.AnswerCounts) {
