--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -184,3 +184,34 @@
 		})
 	}
 }
+
+// TestExposureOfLateFaults guards against a version that gets more than its allowance because its fault shows late in
+// the move, or after it. A move that completes sends the new version everything from the switch to the deadline, so
+// the bound must hold for good versions too.
+func TestExposureOfLateFaults(t *testing.T) {
+	const perSecond = 170
+	for at := time.Duration(0); at <= within+4*time.Second; at += 500 * time.Millisecond {
+		b := behavior{func(now time.Duration, _ bool) float64 {
+			if now < at {
+				return 0.005
+			}
+			return 0.5
+		}, 1}
+		for seed := range uint64(5) {
+			exposed := exposureUntilDeadline(seed, b)
+			if allowed := int(0.1*perSecond*within.Seconds()) + 50; exposed > allowed {
+				t.Errorf("fault from %s: %d requests reached the bad version, want at most %d", at, exposed, allowed)
+			}
+		}
+	}
+}
+
+// exposureUntilDeadline simulates a move and returns the requests to the new version until the deadline, also those
+// after the end of the move.
+func exposureUntilDeadline(seed uint64, v behavior) int {
+	phase, _, exposed, total := simulate(seed, v)
+	if phase == shift.Complete {
+		exposed += int(170*within.Seconds()) - total
+	}
+	return exposed
+}
