--- a/canary/test.go
+++ b/canary/test.go
@@ -41,6 +41,8 @@
 		WindowCap   float64 // largest factor by which one window increases the evidence
 		Tolerance   float64 // tolerated odds ratio of failures
 		SlowFactor  float64 // tolerated odds ratio of slow requests
+		SlowMargin  int     // latency buckets above the old version's quantile that are not slow either
+		SlowShare   float64 // minimum share of slow requests of the new version, below which it is not bad for them
 		MinRequests uint64  // minimum number of requests to the new version in a step
 	}
 
@@ -169,7 +171,8 @@
 
 // observe computes the likelihood ratios of a window of one route and adds the window to the route's totals.
 func (r *route) observe(samples []Sample, cfg *Config) routeWindow {
-	bucket, hasThreshold := r.threshold()
+	quantile, hasThreshold := r.threshold()
+	bucket := quantile + cfg.SlowMargin
 	o := routeWindow{maxFactor: cfg.WindowCap}
 	for i := range samples {
 		o.total.Old.add(&samples[i].Old)
@@ -184,7 +187,7 @@
 			o.slow.addAbsolute(
 				uncomparedSlowRate,
 				newTotal.Latency.Total(),
-				newTotal.Latency.CountAbove(bucket+bucketsPerDoubling),
+				newTotal.Latency.CountAbove(quantile+max(cfg.SlowMargin, bucketsPerDoubling)),
 			)
 		}
 	} else {
--- a/canary/verdict.go
+++ b/canary/verdict.go
@@ -74,11 +74,11 @@
 
 // Bad reports whether the new version is bad. It is cheaper than Verdict.
 func (t *Test) Bad() bool {
-	if t.all.bad(t.alarmLevel(-1)) {
+	if t.all.bad(t.alarmLevel(-1), t.cfg.SlowShare) {
 		return true
 	}
 	for i, r := range t.routes {
-		if r.bad(t.alarmLevel(i)) {
+		if r.bad(t.alarmLevel(i), t.cfg.SlowShare) {
 			return true
 		}
 	}
@@ -92,6 +92,7 @@
 	for i := range v.Figures {
 		f := &v.Figures[i]
 		switch {
+		case f.Test == TestSlow && float64(f.NewEvents) < t.cfg.SlowShare*float64(f.NewRequests):
 		case f.Log10 >= f.Limit10:
 			v.Kind = Bad
 		case f.Log10 >= undecidedShare*f.Limit10:
@@ -164,14 +165,15 @@
 	list = t.all.figures(list, t.alarmLevel(-1), 0, t.all.old.Latency.Total() >= minHistory)
 	for i, r := range t.routes {
 		bucket, hasThreshold := r.threshold()
-		list = r.figures(list, t.alarmLevel(i), count.BucketBound(bucket), hasThreshold)
+		list = r.figures(list, t.alarmLevel(i), count.BucketBound(bucket+t.cfg.SlowMargin), hasThreshold)
 	}
 	slices.SortStableFunc(list, func(a, b Figure) int { return cmp.Compare(b.Log10-b.Limit10, a.Log10-a.Limit10) })
 	return list
 }
 
-func (r *route) bad(alarmLevel float64) bool {
-	return r.failures.logEvidence() >= alarmLevel || r.slow.logEvidence() >= alarmLevel
+func (r *route) bad(alarmLevel, slowShare float64) bool {
+	return r.failures.logEvidence() >= alarmLevel ||
+		float64(r.newSlow) >= slowShare*float64(r.new.Requests) && r.slow.logEvidence() >= alarmLevel
 }
 
 // figures appends the figures of one route.
