Keep what a new version gets within its allowance, at every node

Callers saw a bad version serve up to three times its allowance, and go on after its 50th bad answer. Cause: nothing added up what the new version got. After the completion nothing looked at the version any more.

- Every node counts what it sends to the service and to the new version, and keeps the second below its part of the bound (shift.Allowance).
If each node keeps to it, the sum does, whenever the fault shows and whatever is out of reach. exposure-slack is read from the settings now (moveSlack).
- The switch is only an announcement.
Requests go to the old version as long as they can end there before the completion, which is a sixteenth of the time before the deadline.
The load test comes shortly before.
- Without a known completion at the deadline every node returns to the old version by itself.
- A node that finds the version bad halts it at once at the nodes of its servers, which refuse it and store the decision if the deciding nodes cannot.
- The completion waits up to 0.2 s for the outcome of recent failures.
- A version that fails after its completion is closed: its requests are refused as not run.
- Nodes that read the order late learn its age from the move's record.

--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -13,6 +13,7 @@
 	"tanagershunt.example/shunt/conns"
 	"tanagershunt.example/shunt/place"
 	"tanagershunt.example/shunt/proxy"
+	"tanagershunt.example/shunt/shift"
 )
 
 const (
@@ -50,23 +51,36 @@
 	o := c.outbound
 	budget := o.budgets.forService(c.service, o.Clock, o.Bounds(), len(o.View.nodeAddresses()))
 	budget.RecordFirst()
-	version, trial, singleServer := o.View.selectVersion(c.service, rand.Float64(), o.Bounds().ShiftShare)
+	chosen := o.View.chooseVersion(c.service, versionRequest{
+		work: o.stats.expectedLatency(c.route.Name), draw: rand.Float64(),
+	})
 	waits := make(map[string]time.Duration) // assumed wait at each node already asked, at least 1 ms, by address
 	excluded := make(map[string]bool)       // addresses that get no further request
 	queuedBefore := false                   // a node refused the request after more than queuedMaxWait in its queue
 	result := notRunResult("no server of " + c.service + " is known")
 	closed := 0 // refusals regardless of the load
 	for c.nodesAsked-closed < maxNodeAttempts && closed <= maxClosedNodes && ctx.Err() == nil {
+		if chosen.refusal != "" {
+			refusal := notRunResult(chosen.refusal)
+			refusal.wait = chosen.wait
+			return c.finalResult(preferAnswered(result, refusal))
+		}
 		lastAttempt := c.nodesAsked-closed == maxNodeAttempts-1
-		node, choice, ok := c.chooseNode(version, singleServer, lastAttempt, waits, excluded)
-		if trial && (!ok || len(waits) > 0) {
-			// No node of the new version is left, or one has already refused or failed. A share of 0 selects the old
-			// version.
-			version, trial, singleServer = o.View.selectVersion(c.service, 1, 0)
+		node, choice, ok := c.chooseNode(chosen, lastAttempt, waits, excluded)
+		switch {
+		case chosen.tentative && (!ok || len(waits) > 0):
+			// No node of the new version is left, or one has already refused or failed.
+			chosen = o.View.inUse(c.service)
+			continue
+		case !ok && chosen.either:
+			chosen = o.View.otherVersion(c.service, chosen.version)
 			continue
+		case !ok:
+			return c.finalResult(result)
 		}
-		if !ok {
-			break
+		if ok, remaining := o.View.takeExposure(c.service, chosen.version, chosen.offer.Stage, o.Bounds().Move); !ok {
+			chosen = o.View.withoutAllowance(c.service, remaining)
+			continue
 		}
 		addr := node.currentEntry().Calls
 		_, askedBefore := waits[addr]
@@ -77,7 +91,7 @@
 			choice.MaxWait = queuedMaxWait
 		case askedBefore:
 			choice.MaxWait = 0
-		case trial:
+		case chosen.tentative:
 			choice.MaxWait = trialMaxWait
 		}
 		res := c.attempt(ctx, node, choice.MaxWait)
@@ -93,7 +107,7 @@
 			excluded[addr] = true
 		}
 		if res.versionMoved {
-			version, trial, singleServer = o.View.otherVersion(c.service, version), false, false
+			chosen = o.View.otherVersion(c.service, chosen.version)
 		}
 		if res.serverClosed {
 			closed++
@@ -148,13 +162,14 @@
 // chooseNode returns the cheapest node for the next attempt. The last attempt is limited to the nodes that were already
 // asked and are not excluded, if there are any.
 func (c *call) chooseNode(
-	version string, singleServer, lastAttempt bool, waits map[string]time.Duration, excluded map[string]bool,
+	chosen versionChoice, lastAttempt bool, waits map[string]time.Duration, excluded map[string]bool,
 ) (*peerNode, place.Choice, bool) {
 	o := c.outbound
 	now := o.Clock.Now()
 	nodeCount := len(o.View.nodeAddresses())
 	coldRate := o.View.serviceSpec(c.service).ColdRate
-	nodes := o.View.candidates(c.service, version, singleServer || lastAttempt)
+	singleServer := chosen.tentative && chosen.offer.Stage == shift.LoadTest
+	nodes := o.View.candidates(c.service, chosen.version, singleServer || lastAttempt)
 	if singleServer && len(nodes) > 0 {
 		nodes = nodes[:1]
 	}
@@ -226,9 +241,9 @@
 	}
 	if res.delivered {
 		c.attempts++
-		if newVersion, moving := o.View.countSent(c.service, entry.Version); moving {
-			o.Meter.countMoveRequest(newVersion)
-		}
+	}
+	if newVersion, counted := o.View.countSent(c.service, entry.Version, res.delivered); counted {
+		o.Meter.countMoveRequest(newVersion)
 	}
 	end := o.Clock.Now()
 	failed := res.outcome == shunt.AttemptUnknown || res.delivered && res.outcome == shunt.AttemptNotRun ||
--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
@@ -42,7 +43,7 @@
 
 type (
 	// Feed serves the records that a node has read from the store to other nodes, so that one read serves many nodes.
-	// Its methods Follow, Tally and Position are called with net/rpc.
+	// Its methods Follow, Tally, Halt and Position are called with net/rpc.
 	Feed struct {
 		clock clockwork.Clock
 		view  *MeshView
@@ -86,6 +87,12 @@
 		Node    string
 		Tally   shift.AnswerCounts
 	}
+
+	// HaltArgs tells a node that the new version of the move with the given order is bad.
+	HaltArgs struct {
+		Service string
+		Order   int64
+	}
 )
 
 func newFeed(c clockwork.Clock, view *MeshView) *Feed {
@@ -139,6 +146,14 @@
 	return nil
 }
 
+// Halt stops requests to the local backend server if it is of the new version of a move that another node found bad.
+func (f *Feed) Halt(args HaltArgs, _ *struct{}) error {
+	if f.view.halt(args.Service, args.Order) {
+		log.WithFields(log.Fields{"service": args.Service, "order": args.Order}).Warn("new version halted by another node")
+	}
+	return nil
+}
+
 // topic returns the state of a topic, creating it if needed. The caller must hold the lock.
 func (f *Feed) topic(name string) *feedTopic {
 	t := f.topics[name]
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -16,6 +16,7 @@
 	"tanagershunt.example/shunt/proxy"
 	"tanagershunt.example/shunt/quota"
 	"tanagershunt.example/shunt/sched"
+	"tanagershunt.example/shunt/shift"
 )
 
 const (
@@ -42,7 +43,7 @@
 		Meter          *Meter
 		Bodies         *quota.Budget // memory for requests of other nodes and their responses
 		Domain         string
-		RecordResponse func(route string, failed bool, latency time.Duration) // records outcomes at the server during a move
+		RecordResponse func(route string, a shift.Answer) // records outcomes at the server during a move
 
 		stats   routeStatsTable
 		callers callerStats
@@ -237,8 +238,12 @@
 		res.outcome == shunt.AttemptNotRun {
 		return
 	}
-	failed := res.outcome != shunt.AttemptAnswered || res.status >= http.StatusInternalServerError
-	in.RecordResponse(c.route, failed, took)
+	answered := res.outcome == shunt.AttemptAnswered
+	in.RecordResponse(c.route, shift.Answer{
+		Failed:  !answered || res.status >= http.StatusInternalServerError,
+		Error:   answered && res.status >= http.StatusInternalServerError && res.status != http.StatusGatewayTimeout,
+		Latency: took,
+	})
 }
 
 func notRunResult(reason string) *inboundResult {
--- a/meshd/mover.go
+++ b/meshd/mover.go
@@ -21,12 +21,16 @@
 const (
 	// evaluateInterval is how often moves are evaluated.
 	evaluateInterval = 200 * time.Millisecond
-	// tallyInterval is the minimum time between two tallies sent by a node during a move, and the timeout of the RPC
-	// that sends one.
-	tallyInterval = 300 * time.Millisecond
+	// moveCallTimeout is the timeout of the calls between nodes for moves.
+	moveCallTimeout = 300 * time.Millisecond
 	// decisionDelayPerRank is the additional delay per rank before a node makes a decision that the nodes ranked before
-	// it have not made.
+	// it have not made. completeDelayPerRank is that for the completion, which has a deadline.
 	decisionDelayPerRank = 400 * time.Millisecond
+	completeDelayPerRank = 100 * time.Millisecond
+	// maxStoreAttempts bounds the attempts to store a record while other nodes append to its topic.
+	maxStoreAttempts = 3
+	// haltInterval is the minimum time between two halts of a version that this node finds bad.
+	haltInterval = 500 * time.Millisecond
 	// tallyRecipients is the number of nodes that receive a tally: those ranked first for the decision.
 	tallyRecipients = 3
 	// maxRank is the rank above which the decision delay no longer grows and a node does not report to the operator.
@@ -45,11 +49,13 @@
 		Peers    *peer.Pool
 		Self     string
 		Ready    func() bool // whether the node has read the entries and moves of the mesh
+		// Others returns the number of callers' requests for services other than that of the local backend server, and
+		// how many of them no server answered. It may be nil.
+		Others func() (requests, unanswered uint64)
 
 		mu        sync.Mutex
 		tally     shift.AnswerCounts
 		sentTotal uint64 // total of the tally that was sent last
-		sentAt    time.Time
 
 		moves map[string]*moveEvaluation // by service, used by Run only
 	}
@@ -61,6 +67,8 @@
 		phase         shift.Phase // the next phase according to the evidence
 		phaseSince    time.Time
 		reportedPhase shift.Phase // last phase that this node has reported or need not report
+		storedPhase   shift.Phase // last phase that this node has stored
+		haltedAt      time.Time   // when this node last halted the new version
 	}
 )
 
@@ -103,15 +111,16 @@
 		return
 	}
 	m.reportToOperator(ctx, v, eval)
-	if v.record.Phase.Ended() {
+	now := m.Clock.Now()
+	if v.record.Phase.Ended() && !v.isWatched(now) {
 		return
 	}
-	now := m.Clock.Now()
 	eval.evidence.Observe(now, v.record, v.tallies)
 	verdict, answers, failures, recent := eval.evidence.Verdict()
 	phase, reason := v.record.Next(shift.Observations{
 		Elapsed: now.Sub(v.orderedAt), InPhase: now.Sub(v.phaseSince), Within: v.order.Within, Verdict: verdict,
-		Answers: answers, Recent: recent, Failures: failures, NewReady: v.registeredServers,
+		Answers: answers, Recent: recent, Failures: failures, NewReady: v.registeredServers, Halted: v.halted,
+		Failing: eval.evidence.Failing(), OldShare: eval.evidence.OldFailureShare(),
 	})
 	if phase == v.record.Phase {
 		eval.phase = phase
@@ -120,25 +129,41 @@
 	if phase != eval.phase {
 		eval.phase, eval.phaseSince = phase, now
 	}
-	if now.Sub(eval.phaseSince) < m.decisionDelay(v.order) {
+	if phase == shift.RolledBack && m.View.halt(v.order.Service, v.order.Offset) {
+		log.WithFields(log.Fields{
+			"service": v.order.Service, "version": v.order.Target, "reason": reason, "answers": answers,
+			"failures": failures,
+		}).Warn("new version halted")
+	}
+	if now.Sub(eval.phaseSince) < m.decisionDelay(v.order, phase) {
 		return
 	}
+	if phase == shift.RolledBack && now.Sub(eval.haltedAt) >= haltInterval {
+		eval.haltedAt = now
+		m.sendHalt(ctx, v)
+	}
 	next := *v.record
-	next.Phase, next.Why = phase, reason
+	next.Phase, next.Why, next.Elapsed = phase, reason, now.Sub(v.orderedAt).Milliseconds()
 	log.WithFields(log.Fields{
 		"service": v.order.Service, "version": v.order.Target, "phase": phase, "reason": reason, "answers": answers,
 		"failures": failures, "elapsed": now.Sub(v.orderedAt), "within": v.order.Within,
+		"evidence": eval.evidence.Text(now),
 	}).Info("move decided")
-	m.storeRecord(ctx, v.order.Service, next)
+	if m.storeRecord(ctx, v.order.Service, next) {
+		eval.storedPhase = phase
+		v.record, v.phaseSince = &next, now
+		m.reportToOperator(ctx, v, eval)
+	}
 }
 
 // begin stores the first record of a move.
 func (m *Mover) begin(ctx context.Context, v moveView, eval *moveEvaluation) {
 	now := m.Clock.Now()
-	if now.Sub(eval.phaseSince) < m.decisionDelay(v.order) || v.currentVersion == "" || !m.Ready() {
+	if now.Sub(eval.phaseSince) < m.decisionDelay(v.order, shift.Trial) || v.currentVersion == "" || !m.Ready() {
 		return
 	}
 	r := shift.Begin(v.order, v.currentVersion, now)
+	r.FromClosed, r.Elapsed = v.currentClosed, now.Sub(v.orderedAt).Milliseconds()
 	if v.currentVersion == v.order.Target {
 		r.Phase, r.Why = shift.Complete, "service has the version already"
 	}
@@ -146,8 +171,12 @@
 }
 
 // decisionDelay returns how long this node waits for nodes ranked before it to make a decision.
-func (m *Mover) decisionDelay(o shunt.ShiftOrder) time.Duration {
-	return time.Duration(min(m.rank(o), maxRank)) * decisionDelayPerRank
+func (m *Mover) decisionDelay(o shunt.ShiftOrder, phase shift.Phase) time.Duration {
+	perRank := decisionDelayPerRank
+	if phase == shift.Complete {
+		perRank = completeDelayPerRank
+	}
+	return time.Duration(min(m.rank(o), maxRank)) * perRank
 }
 
 // rank returns the position of this node in rankedNodes. It is 0 if the node is not listed.
@@ -166,18 +195,40 @@
 	return list
 }
 
-// storeRecord stores the record of a move unless another node did so first: it reads the stored record, returns if r
-// may not follow it, and appends r only if the topic has not grown since that read.
-func (m *Mover) storeRecord(ctx context.Context, service string, r shift.Record) {
+// storeRecord stores the record of a move unless another node did so first, and reports whether it did. It reads the
+// stored record, returns if r may not follow it, and appends r only if the topic has not grown since that read.
+func (m *Mover) storeRecord(ctx context.Context, service string, r shift.Record) bool {
 	data, err := json.Marshal(r)
 	if err != nil {
 		log.WithError(err).Error("cannot encode move record")
-		return
+		return false
+	}
+	for range maxStoreAttempts {
+		end, ok := m.readRecord(ctx, service, r)
+		if !ok {
+			return false
+		}
+		_, err = m.Store.Append(ctx, topicMesh, end, shunt.KeyedRecord{Key: moveKeyPrefix + service, Value: data})
+		if err == nil {
+			m.View.setMove(service, r)
+			return true
+		}
+		if !errors.Is(err, shunt.ErrStoreConflict) {
+			log.WithError(err).WithField("service", service).Warn("cannot store move record")
+			return false
+		}
 	}
+	log.WithField("service", service).Info("move record not stored: topic grew at each attempt")
+	return false
+}
+
+// readRecord reads the stored record of a service's move. It returns the end of the topic, and whether r may replace the
+// record.
+func (m *Mover) readRecord(ctx context.Context, service string, r shift.Record) (end int64, ok bool) {
 	records, end, err := m.Store.Newest(ctx, topicMesh)
 	if err != nil {
 		log.WithError(err).WithField("service", service).Warn("cannot read move records")
-		return
+		return 0, false
 	}
 	for _, k := range records {
 		var stored shift.Record
@@ -186,32 +237,30 @@
 		}
 		m.View.setMove(service, stored)
 		if !r.CanReplace(stored) {
-			return
-		}
-	}
-	_, err = m.Store.Append(ctx, topicMesh, end, shunt.KeyedRecord{Key: moveKeyPrefix + service, Value: data})
-	if err != nil {
-		if !errors.Is(err, shunt.ErrStoreConflict) {
-			log.WithError(err).WithField("service", service).Warn("cannot store move record")
+			return 0, false
 		}
-		return
 	}
-	m.View.setMove(service, r)
+	return end, true
 }
 
 // reportToOperator reports the state of a move to the operator. The switch is reported as part of the trial. The node
-// ranked first reports each state, and the next ones up to maxRank report only the end of the move, if that report is
-// missing.
+// ranked first and the one that stored the end of the move report at once; the next ones up to maxRank report only the
+// end of the move, if that report is missing.
 func (m *Mover) reportToOperator(ctx context.Context, v moveView, eval *moveEvaluation) {
 	phase := v.record.Phase
-	if phase == shift.Switch {
+	switch phase {
+	case shift.Switch:
 		phase = shift.Trial
+	case shift.Closed:
+		phase = shift.Complete
+	case shift.Trial, shift.Complete, shift.RolledBack:
 	}
-	now := m.Clock.Now()
-	if eval.reportedPhase == phase || now.Sub(v.phaseSince) < m.decisionDelay(v.order) || m.rank(v.order) > maxRank {
+	stored := eval.storedPhase == phase
+	wait := m.decisionDelay(v.order, phase)
+	if eval.reportedPhase == phase || !stored && (m.Clock.Since(v.phaseSince) < wait || m.rank(v.order) > maxRank) {
 		return
 	}
-	if m.rank(v.order) > 0 {
+	if m.rank(v.order) > 0 && !stored {
 		reported, err := m.endReported(ctx, v)
 		if err != nil {
 			log.WithError(err).Warn("cannot read move status records")
@@ -228,7 +277,7 @@
 		state = shunt.ShiftComplete
 	case shift.RolledBack:
 		state = shunt.ShiftRolledBack
-	case shift.Trial, shift.Switch:
+	case shift.Trial, shift.Switch, shift.Closed:
 	}
 	k, err := m.Operator.StatusRecord(v.order.Service, v.order.Target, state)
 	if err != nil {
--- a/meshd/moves.go
+++ b/meshd/moves.go
@@ -16,6 +16,8 @@
 	tallies           map[string]*shift.AnswerCounts
 	registeredServers int    // servers of the new version that are not leaving and whose nodes are not stopping
 	currentVersion    string // set only until the move has begun
+	currentClosed     bool   // whether currentVersion is closed
+	halted            bool
 }
 
 // orderedMoves returns the moves that the operator has ordered.
@@ -31,9 +33,9 @@
 		}
 		if s := v.moves[service]; s != nil && s.Order == o.Offset {
 			r := s.Record
-			m.record, m.phaseSince = &r, s.phaseSince
+			m.record, m.phaseSince, m.halted = &r, s.phaseSince, v.isHalted(service, s)
 		} else if s != nil {
-			m.currentVersion = s.Version(1, 0) // a share of 0 selects the old version during a trial
+			m.currentVersion, m.currentClosed = s.InUse(), s.Phase == shift.Closed
 		} else {
 			m.currentVersion = baselines[service].version
 		}
@@ -48,12 +50,24 @@
 	return list
 }
 
-// activeOrderOffset returns the offset of the order of a service's move, if the move has begun and not ended.
+// isWatched reports whether the move's new version is still watched after the move is complete. It is for as long as the
+// move was to take.
+func (m *moveView) isWatched(now time.Time) bool {
+	return m.record.Phase == shift.Complete && now.Sub(m.phaseSince) < m.order.Within
+}
+
+// activeOrderOffset returns the offset of the order of a service's move, if the move has begun and the answers of its
+// servers count.
 func (v *MeshView) activeOrderOffset(service string) (int64, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	s := v.moves[service]
-	if s == nil || s.Phase.Ended() {
+	if s == nil {
+		return 0, false
+	}
+	o := v.orders[service]
+	m := moveView{order: o, record: &s.Record, phaseSince: s.phaseSince}
+	if s.Phase.Ended() && (o.Offset != s.Order || !m.isWatched(v.clock.Now())) {
 		return 0, false
 	}
 	return s.Order, true
--- a/meshd/node.go
+++ b/meshd/node.go
@@ -20,6 +20,7 @@
 	"tanagershunt.example/shunt/peer"
 	"tanagershunt.example/shunt/proxy"
 	"tanagershunt.example/shunt/sched"
+	"tanagershunt.example/shunt/shift"
 )
 
 const (
@@ -38,9 +39,6 @@
 	// peerDialTimeout bounds dialing another node. Round trips between nodes take a few milliseconds, and a request
 	// with 300 ms left must still have time for another node.
 	peerDialTimeout = 150 * time.Millisecond
-	// trialExposureShare is the fraction of the MoveShare setting used as the trial's share of requests outside its load
-	// tests. The rest is left for the load tests, and for the time until a fault is detected after the switch.
-	trialExposureShare = 1.0 / 3
 	// peerBackoffCap bounds the pause between attempts to connect to another node's feed.
 	peerBackoffCap = 2 * time.Second
 	// peerUserTimeout is the time after which a connection to another node is closed if sent data is not acknowledged
@@ -181,6 +179,7 @@
 		StartedAt:   c.Now(),
 		Bodies:      bodies,
 	}
+	n.mover.Others = n.outbound.Others
 	n.server.notify, n.server.confirm = n.sync.Publish, n.confirmServer
 	n.callerHandler = &drainHandler{next: n.outbound}
 	return n
@@ -207,7 +206,7 @@
 	b := n.settings.Load().Bounds
 	return Bounds{
 		RetryWindow: seconds(b.RetryWindow), RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
-		ShiftShare: trialExposureShare * b.MoveShare,
+		Move: shift.Bound{Share: b.MoveShare, Slack: b.MoveSlack},
 	}
 }
 
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +21,7 @@
 	"tanagershunt.example/shunt/quota"
 	"tanagershunt.example/shunt/retry"
 	"tanagershunt.example/shunt/route"
+	"tanagershunt.example/shunt/shift"
 )
 
 const (
@@ -56,6 +58,9 @@
 
 		stats   routeStatsTable
 		budgets retryBudgets
+		// others counts the requests for services other than that of the local server, and othersUnanswered those that no
+		// server answered.
+		others, othersUnanswered atomic.Uint64
 	}
 
 	// Bounds are the limits that a node enforces on behalf of the mesh.
@@ -63,7 +68,7 @@
 		RetryWindow time.Duration
 		RetryRatio  float64
 		RetrySlack  float64
-		ShiftShare  float64
+		Move        shift.Bound // of requests to the new version until the deadline of a move
 	}
 
 	// call is one request of a caller.
@@ -211,9 +216,27 @@
 		o.refuse(w, c.id, status, res.reason, 0)
 	}
 	o.Meter.countRequest(status, took)
+	o.countOther(c.service, res.outcome)
 	c.logEnded(status, res.outcome, res.reason)
 }
 
+// countOther counts the outcome of a request if the local server's service is another one.
+func (o *Outbound) countOther(service string, outcome shunt.AttemptOutcome) {
+	if service == o.Service() {
+		return
+	}
+	o.others.Add(1)
+	if outcome != shunt.AttemptAnswered {
+		o.othersUnanswered.Add(1)
+	}
+}
+
+// Others returns the number of requests for services other than that of the local server, and how many of them no server
+// answered.
+func (o *Outbound) Others() (requests, unanswered uint64) {
+	return o.others.Load(), o.othersUnanswered.Load()
+}
+
 // logEnded logs the end of the request. A status of 0 means that no response was written.
 func (c *call) logEnded(status int, outcome shunt.AttemptOutcome, reason string) {
 	now := c.outbound.Clock.Now()
--- a/meshd/record_test.go
+++ b/meshd/record_test.go
@@ -118,7 +118,7 @@
 			if addrs := s.View.nodeAddresses(); len(addrs) != 1 || addrs[0] != soundAddr {
 				t.Errorf("nodes %v, want only %s", addrs, soundAddr)
 			}
-			if version, _, _ := s.View.selectVersion(testService, 0.5, 0); version != "v1" {
+			if version := s.View.chooseVersion(testService, versionRequest{draw: 0.5}).version; version != "v1" {
 				t.Errorf("version in service %q, want v1", version)
 			}
 			if !s.View.allowsVersion(testService, "v1") {
@@ -138,7 +138,7 @@
 	view.setEntry(stranger)
 	p := view.peers[stranger.Calls]
 	p.endRequest(p.startRequest(time.Now()), time.Now(), nil, false, true, true)
-	if version, _, _ := view.selectVersion(testService, 0.5, 0); version != "v1" {
+	if version := view.chooseVersion(testService, versionRequest{draw: 0.5}).version; version != "v1" {
 		t.Errorf("version in service %q after the stranger could not be reached, want v1", version)
 	}
 	// A node that was reached before keeps its version in service while it is unreachable.
@@ -147,7 +147,7 @@
 	old.endRequest(old.startRequest(time.Now()), time.Now(), nil, false, true, true)
 	p.markReachable()
 	p.endRequest(p.startRequest(time.Now()), time.Now(), nil, false, true, true)
-	if version, _, _ := view.selectVersion(testService, 0.5, 0); version != "zzz" {
+	if version := view.chooseVersion(testService, versionRequest{draw: 0.5}).version; version != "zzz" {
 		t.Errorf("version in service %q with two known nodes out of reach, want that of the older one", version)
 	}
 }
--- a/meshd/size_test.go
+++ b/meshd/size_test.go
@@ -72,8 +72,8 @@
 func placeOnce(c *call) bool {
 	o := c.outbound
 	o.budgets.forService(c.service, o.Clock, o.Bounds(), len(o.View.nodeAddresses())).RecordFirst()
-	version, _, singleServer := o.View.selectVersion(c.service, 0.5, 0.03)
-	_, _, ok := c.chooseNode(version, singleServer, false, nil, nil)
+	chosen := o.View.chooseVersion(c.service, versionRequest{draw: 0.5})
+	_, _, ok := c.chooseNode(chosen, false, nil, nil)
 	return ok
 }
 
--- a/meshd/tally.go
+++ b/meshd/tally.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/apex/log"
 
@@ -10,7 +9,7 @@
 )
 
 // RecordResponse counts a request that the local backend server ran or may have run during a move of its service.
-func (m *Mover) RecordResponse(route string, failed bool, latency time.Duration) {
+func (m *Mover) RecordResponse(route string, a shift.Answer) {
 	report, _ := m.Server.Current()
 	order, open := m.View.activeOrderOffset(report.Service)
 	if !open {
@@ -21,20 +20,21 @@
 	if m.tally.Order != order || m.tally.Version != report.Version {
 		m.tally, m.sentTotal = shift.AnswerCounts{Order: order, Version: report.Version}, 0
 	}
-	m.tally.Add(route, failed, latency)
+	m.tally.Add(route, a)
 }
 
 // sendTally sends the counts of the local backend server to the nodes that decide on the move, if they have grown since
 // the last time.
 func (m *Mover) sendTally(ctx context.Context) {
-	now := m.Clock.Now()
 	m.mu.Lock()
 	total := m.tally.Total()
-	if total == m.sentTotal || now.Sub(m.sentAt) < tallyInterval {
+	if total == m.sentTotal {
 		m.mu.Unlock()
 		return
 	}
-	m.sentAt = now
+	if m.Others != nil {
+		m.tally.Others, m.tally.OthersUnanswered = m.Others()
+	}
 	args := TallyArgs{Node: m.Self, Tally: m.tally.Clone()}
 	m.mu.Unlock()
 	report, _ := m.Server.Current()
@@ -50,13 +50,28 @@
 
 // sendTallyTo sends the tally to another node.
 func (m *Mover) sendTallyTo(ctx context.Context, addr string, args TallyArgs) {
-	ctx, cancel := context.WithTimeout(ctx, tallyInterval)
+	ctx, cancel := context.WithTimeout(ctx, moveCallTimeout)
 	defer cancel()
 	if err := m.Peers.Call(ctx, addr, feedService, feedService+".Tally", args, &struct{}{}); err != nil {
 		log.WithError(err).WithField("node", addr).Debug("cannot send tally")
 	}
 }
 
+// sendHalt halts the new version of a move at the nodes of its servers, which refuse its requests from then on. They
+// decide as well, so that one that reaches the store can store the decision.
+func (m *Mover) sendHalt(ctx context.Context, v moveView) {
+	args := HaltArgs{Service: v.order.Service, Order: v.order.Offset}
+	for _, addr := range m.View.controlAddresses(v.order.Service, v.order.Target) {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, moveCallTimeout)
+			defer cancel()
+			if err := m.Peers.Call(ctx, addr, feedService, feedService+".Halt", args, &struct{}{}); err != nil {
+				log.WithError(err).WithFields(log.Fields{"node": addr, "service": args.Service}).Warn("cannot send halt")
+			}
+		}()
+	}
+}
+
 // tallyTargets returns the feed addresses of the first tallyRecipients other nodes in rankedNodes, which are the first
 // to decide on a service's move. It returns none if the order is not the current one.
 func (m *Mover) tallyTargets(service string, order int64) []string {
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -47,11 +47,14 @@
 		tallies   map[string]map[string]*shift.AnswerCounts
 		// allowances holds what this node has sent since the order of a service's move.
 		allowances map[string]*shift.Allowance
+		halted     map[string]int64 // order of the move whose new version is halted, by service
 	}
 
 	moveState struct {
 		shift.Record
 		phaseSince time.Time // when this node learned of the phase
+		// learnedComplete is set if the move was complete when this node learned of it.
+		learnedComplete bool
 	}
 )
 
@@ -67,6 +70,7 @@
 		peers:      make(map[string]*peerNode),
 		tallies:    make(map[string]map[string]*shift.AnswerCounts),
 		allowances: make(map[string]*shift.Allowance),
+		halted:     make(map[string]int64),
 	}
 }
 
@@ -130,6 +134,7 @@
 	}
 	v.orders[o.Service] = o
 	v.orderedAt[o.Service] = v.clock.Now()
+	v.adjustOrderedAt(o.Service)
 	log.WithFields(log.Fields{
 		"service": o.Service, "version": o.Target, "within": o.Within, "order": o.Offset,
 	}).Info("move ordered")
@@ -143,7 +148,15 @@
 	if old != nil && (old.Order > r.Order || old.Order == r.Order && old.Phase == r.Phase) {
 		return
 	}
-	v.moves[service] = &moveState{Record: r, phaseSince: v.clock.Now()}
+	now := v.clock.Now()
+	m := &moveState{Record: r, phaseSince: now}
+	if old == nil || old.Order != r.Order {
+		m.learnedComplete = r.Phase == shift.Complete
+	} else {
+		m.learnedComplete = old.learnedComplete
+	}
+	v.moves[service] = m
+	v.adjustOrderedAt(service)
 	fields := log.Fields{
 		"service": service, "from": r.From, "version": r.Target, "phase": r.Phase, "order": r.Order, "reason": r.Why,
 	}
@@ -154,6 +167,18 @@
 	log.WithFields(fields).Info("move changed")
 }
 
+// adjustOrderedAt corrects the time of a service's order by the record of its move. A node that has read the order late,
+// for example after a restart, learns its age so. The caller must hold the lock.
+func (v *MeshView) adjustOrderedAt(service string) {
+	m, o := v.moves[service], v.orders[service]
+	if m == nil || m.Order != o.Offset {
+		return
+	}
+	if at := m.phaseSince.Add(-time.Duration(m.Elapsed) * time.Millisecond); at.Before(v.orderedAt[service]) {
+		v.orderedAt[service] = at
+	}
+}
+
 func (v *MeshView) setTally(service, node string, t *shift.AnswerCounts) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -212,40 +237,20 @@
 	return cmp.Compare(a, b)
 }
 
-// selectVersion returns the version for a request to a service, whether it is a version on trial, and whether the trial
-// is limited to a single server. The draw is uniform in [0, 1), and share is the share of the requests that a version
-// on trial receives outside its load tests, which are periods in which a larger share is sent to a single server (see
-// shift.TrialShare). A share of 0 selects the old version during a trial.
-func (v *MeshView) selectVersion(service string, draw, share float64) (version string, trial, singleServer bool) {
-	baseline := v.baselineVersion(service)
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	m := v.moves[service]
-	if m == nil {
-		return baseline, false, false
-	}
-	if o, ok := v.orders[service]; ok && o.Offset == m.Order && share > 0 {
-		share, singleServer = shift.TrialShare(v.clock.Since(v.orderedAt[service]), o.Within, share)
-	}
-	chosen := m.Version(draw, share)
-	trial = m.Phase == shift.Trial && chosen == m.Target
-	return chosen, trial, trial && singleServer
-}
-
 // otherVersion returns the other version of a move. It is used when a node has refused the given version. A node
 // does so if its own state of the move does not allow the version, for example because it has read a later phase than
 // this node.
-func (v *MeshView) otherVersion(service, version string) string {
+func (v *MeshView) otherVersion(service, version string) versionChoice {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	m := v.moves[service]
 	switch {
 	case m == nil:
-		return version
+		return versionChoice{version: version}
 	case version == m.Target:
-		return m.From
+		return versionChoice{version: m.From}
 	default:
-		return m.Target
+		return versionChoice{version: m.Target, offer: shift.Offer{Stage: shift.Takeover, Share: 1}}
 	}
 }
 
@@ -255,7 +260,7 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if m := v.moves[service]; m != nil {
-		return m.Allows(version)
+		return m.Allows(version) && (version != m.Target || !v.isHalted(service, m))
 	}
 	return version == baseline
 }
@@ -345,6 +350,21 @@
 	return list
 }
 
+// controlAddresses returns the addresses of the feeds of the nodes with servers of a service's version, without this
+// node.
+func (v *MeshView) controlAddresses(service, version string) []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var list []string
+	for _, p := range v.peers {
+		e := p.currentEntry()
+		if e.Service == service && e.Version == version && e.Calls != v.self && e.Control != "" && !e.Stopping {
+			list = append(list, e.Control)
+		}
+	}
+	return list
+}
+
 // domains returns the failure domains of all nodes that are not stopping, sorted. The slice must not be modified.
 func (v *MeshView) domains() []string { return v.index().domains }
 
--- a/params/mesh.go
+++ b/params/mesh.go
@@ -11,6 +11,7 @@
 	defaultRetryWindowSeconds = 10
 	defaultRetryRatio         = 0.2
 	defaultMoveShare          = 0.1
+	defaultMoveSlack          = 50
 	defaultColdOvershoot      = 1
 )
 
@@ -60,7 +61,10 @@
 		RetryWindow float64 `json:"retryWindowSeconds"`
 		RetryRatio  float64 `json:"retryRatio"` // retries per first attempt of a service, over all nodes
 		RetrySlack  float64 `json:"retrySlack"` // retries that are always allowed, over all nodes
-		MoveShare   float64 `json:"moveShare"`  // maximum share of a service's requests that a failing version may receive
+		// MoveShare is the maximum share of a service's requests that a new version receives until the deadline of its
+		// move, and MoveSlack the number of requests that are allowed beyond it, both over all nodes.
+		MoveShare float64 `json:"moveShare"`
+		MoveSlack float64 `json:"moveSlack"`
 		// ColdOvershoot is the maximum request rate of a server in its cold start, as a multiple of its cold-start
 		// rate.
 		ColdOvershoot float64 `json:"coldOvershoot"`
@@ -117,6 +121,7 @@
 		{"bounds.retryRatio", s.Bounds.RetryRatio},
 		{"bounds.retrySlack", s.Bounds.RetrySlack},
 		{"bounds.moveShare", s.Bounds.MoveShare},
+		{"bounds.moveSlack", s.Bounds.MoveSlack},
 		{"bounds.coldOvershoot", s.Bounds.ColdOvershoot},
 		{"bounds.coldSlack", s.Bounds.ColdSlack},
 		{"memoryMegabytes", s.Memory},
@@ -138,6 +143,7 @@
 		{&s.Bounds.RetryWindow, defaultRetryWindowSeconds},
 		{&s.Bounds.RetryRatio, defaultRetryRatio},
 		{&s.Bounds.MoveShare, defaultMoveShare},
+		{&s.Bounds.MoveSlack, defaultMoveSlack},
 		{&s.Bounds.ColdOvershoot, defaultColdOvershoot},
 	} {
 		if *d.field == 0 {
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -13,27 +13,61 @@
 const (
 	// Trial sends a small share of the requests to the new version.
 	Trial Phase = "trial"
-	// Switch sends all requests to the new version while the old one completes its running requests.
+	// Switch announces that the new version takes over shortly before the deadline. The old one remains in use until
+	// then, and completes its running requests.
 	Switch Phase = "switch"
 	// Complete ends the move with the new version in use. The servers of the old version may stop.
 	Complete Phase = "complete"
 	// RolledBack ends the move with the old version in use.
 	RolledBack Phase = "back"
+	// Closed follows Complete if the new version fails and no other is left: its servers get no more requests.
+	Closed Phase = "closed"
 )
 
+// Stages of the new version's use, in order.
 const (
-	// drainTime is the time for which the old version completes its running requests after the switch.
-	drainTime = 1100 * time.Millisecond
-	// switchLead is the time before the deadline from which the switch may occur. It covers drainTime, two writes to
-	// the store, and the failover to another node if the deciding one stops.
-	switchLead = drainTime + 1900*time.Millisecond
-	// loadTestDuration is the duration of a load test. During a load test one server of the new version is offered as
-	// many requests as it accepts, because some faults occur under full load only. A trial has two, see
-	// loadTestStarts.
-	loadTestDuration = 1200 * time.Millisecond
-	// loadTestShare is the share of the service's requests offered to the one server under load test. The server's
-	// slots limit how many of them it accepts.
-	loadTestShare = 0.5
+	// Sample offers the new version a small share of the requests.
+	Sample Stage = iota
+	// LoadTest offers a single server of the new version as many requests as it has to expect, because some faults occur
+	// under load only.
+	LoadTest
+	// Takeover sends all requests to the new version, as far as its allowance goes.
+	Takeover
+)
+
+// Times before the deadline of a move. What the new version gets from the takeover on counts against its allowance, so
+// the takeover is as late as the completion permits.
+const (
+	// switchLead is the time before the deadline from which the switch is announced. It covers the failover of the
+	// deciding node and the spreading of the announcement.
+	switchLead = 3500 * time.Millisecond
+	// minSwitch is the least time from the announcement to the completion, in which all nodes learn of it.
+	minSwitch = 700 * time.Millisecond
+	// loadTestLead and loadTestEnd are the times before the deadline at which the load test begins and ends.
+	loadTestLead = 2100 * time.Millisecond
+	loadTestEnd  = 1500 * time.Millisecond
+	// unclearWait is how long the completion waits at most for the outcome of recent failures.
+	unclearWait = 200 * time.Millisecond
+	// completeShare is the time before the deadline at which the move completes, as a share of the whole time: the
+	// allowance grows with that as well. minCompleteLead and maxCompleteLead bound it. The time covers the writes to the
+	// store, those of another node in the place of the first, and the operator's reading.
+	completeShare   = 1.0 / 16
+	minCompleteLead = 900 * time.Millisecond
+	maxCompleteLead = time.Second
+)
+
+const (
+	// sampleOffer is the share of the requests that is offered to the new version during the trial.
+	sampleOffer = 0.05
+	// loadTestOffer is the largest share of the service's requests offered to the one server under load test, and
+	// loadTestFactor the multiple of the share that a server of the new version gets after the takeover.
+	loadTestOffer  = 0.4
+	loadTestFactor = 2
+	// drainFactor is the multiple of a request's expected duration for which the old version is left to complete it.
+	// minDrain and maxDrain bound the result.
+	drainFactor = 2.5
+	minDrain    = 150 * time.Millisecond
+	maxDrain    = time.Second
 	// minTrialRequests is the minimum number of requests to the new version, with or without an answer, before the
 	// switch.
 	minTrialRequests = 20
@@ -41,12 +75,21 @@
 	// that make up at least maxFailureShare of the recent requests are not due to chance.
 	maxFailureShare = 0.2
 	minFailures     = 8
+	// unclearShare and unclearFailures are the least failures for which the completion waits, because many requests of
+	// the takeover are still without an answer. After the wait, minFailures end the move if their share is that large and
+	// at least unclearMultiple of the old version's.
+	unclearShare    = 0.05
+	unclearFailures = 4
+	unclearMultiple = 4
 )
 
 type (
 	// Phase is the phase of a move.
 	Phase string
 
+	// Stage is the stage of the new version's use within a phase.
+	Stage int
+
 	// Record is the state of a move in the store.
 	Record struct {
 		Order  int64  `json:"order"` // offset of the order in the topic of the operator's records
@@ -55,6 +98,24 @@
 		Phase  Phase  `json:"phase"`
 		Began  int64  `json:"began"` // Unix time in milliseconds, by the clock of the node that began the move
 		Why    string `json:"why,omitempty"`
+		// Elapsed is the time since the order in milliseconds, by the steady clock of the node that wrote the record.
+		Elapsed int64 `json:"elapsed,omitempty"`
+		// FromClosed is set if the version in use before the move is closed.
+		FromClosed bool `json:"fromClosed,omitempty"`
+	}
+
+	// Progress is what a node knows of a move when it chooses the version for a request.
+	Progress struct {
+		Elapsed    time.Duration // since the order
+		Within     time.Duration // deadline of the move, counted from the order
+		Work       time.Duration // expected duration of the request
+		NewServers int           // servers of the new version that accept requests
+	}
+
+	// Offer is the share of the requests that is offered to the new version.
+	Offer struct {
+		Stage Stage
+		Share float64
 	}
 
 	// Observations are a node's observations of a move, from which it decides the next phase.
@@ -63,10 +124,13 @@
 		InPhase  time.Duration // since this node received the current phase
 		Within   time.Duration // deadline of the move, counted from the order
 		Verdict  canary.Kind
-		Answers  uint64 // requests to the new version, with or without an answer
-		Recent   uint64 // recent requests to the new version, with or without an answer
-		Failures uint64 // failures among the recent requests
-		NewReady int    // servers of the new version that accept requests
+		Answers  uint64  // requests to the new version, with or without an answer
+		Recent   uint64  // recent requests to the new version, with or without an answer
+		Failures uint64  // failures among the recent requests
+		OldShare float64 // share of the requests to the old version that failed
+		NewReady int     // servers of the new version that accept requests
+		Halted   bool    // a node has found the new version bad, see Feed.Halt in package meshd
+		Failing  bool    // see Evidence.Failing
 	}
 )
 
@@ -76,74 +140,106 @@
 	if stored.Order != r.Order {
 		return stored.Order < r.Order
 	}
-	return r.From == stored.From && stored.Phase != r.Phase && !stored.Phase.Ended() && r.Phase != Trial
+	if r.From != stored.From || stored.Phase == r.Phase {
+		return false
+	}
+	if r.Phase == Closed {
+		return stored.Phase == Complete
+	}
+	return !stored.Phase.Ended() && r.Phase != Trial
 }
 
-// Ended reports whether the phase is final.
-func (p Phase) Ended() bool { return p == Complete || p == RolledBack }
+// Ended reports whether the move has ended. The only phase that may follow is Closed, after Complete.
+func (p Phase) Ended() bool { return p == Complete || p == RolledBack || p == Closed }
 
 // Valid reports whether p is one of the phases.
 func (p Phase) Valid() bool { return p == Trial || p == Switch || p.Ended() }
 
+// completeLead returns the time before the deadline at which a move completes.
+func completeLead(within time.Duration) time.Duration {
+	return min(max(time.Duration(completeShare*float64(within)), minCompleteLead), maxCompleteLead)
+}
+
 // Next returns the phase that follows from the observations, and the reason if it differs from the current one.
 func (r *Record) Next(f Observations) (Phase, string) {
-	bad := f.Verdict == canary.Bad ||
+	bad := f.Halted || f.Verdict == canary.Bad ||
 		f.Failures >= minFailures && float64(f.Failures) >= maxFailureShare*float64(f.Recent)
 	switch {
+	case r.Phase == Complete && f.Failing:
+		return Closed, "version fails and no other one is left"
 	case r.Phase.Ended():
 		return r.Phase, ""
 	case bad:
 		return RolledBack, "new version fails or is slow"
-	case r.Phase == Trial && f.Elapsed >= f.Within:
-		return RolledBack, "not switched by the deadline"
-	case r.Phase == Trial && f.Elapsed >= f.Within-switchLead && f.NewReady > 0 && f.Answers >= minTrialRequests:
+	case f.Elapsed >= f.Within:
+		return RolledBack, "not completed by the deadline"
+	case r.Phase == Trial && f.Elapsed >= f.Within-switchLead && f.Elapsed <= f.Within-completeLead(f.Within)-minSwitch &&
+		f.NewReady > 0 && f.Answers >= minTrialRequests:
 		return Switch, "trial showed no fault"
-	case r.Phase == Switch && f.InPhase >= drainTime:
-		return Complete, "old version has finished its requests"
+	case r.Phase == Switch && f.Elapsed >= f.Within-completeLead(f.Within) && f.InPhase >= minSwitch:
+		return f.complete()
 	}
 	return r.Phase, ""
 }
 
-// loadTestStarts are the starts of the load tests as fractions of the time until the deadline.
-var loadTestStarts = [...]float64{0.4, 0.65}
-
-// TrialShare returns the share of the requests offered to the new version during the trial: base, or a larger one
-// during a load test. If singleServer is true, they are offered to a single server.
-func TrialShare(elapsed, within time.Duration, base float64) (share float64, singleServer bool) {
-	for _, position := range loadTestStarts {
-		start := time.Duration(position * float64(within))
-		if elapsed >= start && elapsed < start+loadTestDuration {
-			return loadTestShare, true
-		}
+// complete returns the phase after the takeover. It waits while failures are unclear.
+func (f *Observations) complete() (Phase, string) {
+	share := float64(f.Failures) / float64(max(f.Recent, 1))
+	unclear := f.Failures >= unclearFailures && share >= unclearShare
+	switch {
+	case unclear && f.Elapsed < f.Within-completeLead(f.Within)+unclearWait:
+		return Switch, ""
+	case unclear && f.Failures >= minFailures && share >= unclearMultiple*f.OldShare:
+		return RolledBack, "new version fails more than the old one"
 	}
-	return base, false
+	return Complete, "new version has taken over"
 }
 
-// Version returns the version that runs a request. The draw is uniform in [0, 1) and share is the new version's share
-// of the requests during the trial.
-func (r *Record) Version(draw, share float64) string {
+// Offer returns the share of the requests that is offered to the new version. It is 0 from the deadline on unless the
+// move is known to be complete: the old version is in use until then.
+func (r *Record) Offer(p Progress) Offer {
 	switch r.Phase {
+	case Complete:
+		return Offer{Stage: Takeover, Share: 1}
 	case Trial:
-		if draw < share {
-			return r.Target
+		return Offer{Stage: Sample, Share: sampleOffer}
+	case Switch:
+		drain := min(max(time.Duration(drainFactor*float64(p.Work)), minDrain), maxDrain)
+		switch {
+		case p.Elapsed >= p.Within:
+			return Offer{}
+		case p.Elapsed >= p.Within-completeLead(p.Within)-drain:
+			return Offer{Stage: Takeover, Share: 1}
+		case p.Elapsed >= p.Within-loadTestLead && p.Elapsed < p.Within-loadTestEnd && p.NewServers > 0:
+			return Offer{Stage: LoadTest, Share: min(loadTestOffer, loadTestFactor/float64(p.NewServers))}
+		default:
+			return Offer{Stage: Sample, Share: sampleOffer}
 		}
-		return r.From
-	case Switch, Complete:
-		return r.Target
 	default:
-		return r.From
+		return Offer{}
+	}
+}
+
+// InUse returns the version that is in use apart from what a trial gets.
+func (r *Record) InUse() string {
+	if r.Phase == Complete || r.Phase == Closed {
+		return r.Target
 	}
+	return r.From
 }
 
 // Allows reports whether servers of the given version may run requests.
 func (r *Record) Allows(version string) bool {
+	old := version == r.From && !r.FromClosed
 	switch r.Phase {
-	case Trial:
-		return version == r.From || version == r.Target
-	case Switch, Complete:
+	case Trial, Switch:
+		return old || version == r.Target
+	case Complete:
 		return version == r.Target
+	case Closed:
+		return false
 	default:
-		return version == r.From
+		return old
 	}
 }
 
--- a/shift/tally.go
+++ b/shift/tally.go
@@ -3,31 +3,34 @@
 import (
 	"maps"
 	"strconv"
-	"time"
 
 	"tanagershunt.example/shunt/count"
 )
 
 // Add counts a request.
-func (t *AnswerCounts) Add(route string, failed bool, latency time.Duration) {
+func (t *AnswerCounts) Add(route string, a Answer) {
 	if t.Routes == nil {
 		t.Routes = make(map[string]RouteCounts)
 	}
 	r := t.Routes[route]
 	r.Answers++
-	if failed {
+	if a.Failed {
 		r.Failures++
 	}
+	if a.Error {
+		r.Errors++
+	}
 	if r.Latency == nil {
 		r.Latency = make(map[string]uint64)
 	}
-	r.Latency[strconv.Itoa(count.BucketIndex(latency))]++
+	r.Latency[strconv.Itoa(count.BucketIndex(a.Latency))]++
 	t.Routes[route] = r
 }
 
 // Clone returns a deep copy.
 func (t *AnswerCounts) Clone() AnswerCounts {
-	out := AnswerCounts{Order: t.Order, Version: t.Version, Routes: make(map[string]RouteCounts, len(t.Routes))}
+	out := *t
+	out.Routes = make(map[string]RouteCounts, len(t.Routes))
 	for name, r := range t.Routes {
 		r.Latency = maps.Clone(r.Latency)
 		out.Routes[name] = r
