Answer requests that a planned stop would cut off

Other operators reported requests that came late in the grace time of a stop, were passed on, and were cut at its end without an answer, among them ones that may not be repeated. It happened here for deadlines above 2 s: a request is taken until 2.8 s after the signal, the connections close at 5 s.

Now a request that cannot be expected to end in time is refused at once as not run, at the outbound and at the inbound side; one that takes longer than expected, also from before the stop, gets 502 or 504 just before the connections close.

--- a/meshd/begun.go
+++ b/meshd/begun.go
@@ -32,7 +32,12 @@
 	share := o.Bodies.Open()
 	b := &begunCall{call: o.newCall(r, table, entry, caller, share), done: make(chan struct{})}
 	b.call.setDeadlines(caller.Deadline)
-	b.ctx, b.cancel = context.WithDeadline(ctx, b.call.deadline)
+	ctx, unwatch := o.stop.watch(ctx)
+	ctx, cancel := context.WithDeadline(ctx, b.call.deadline)
+	b.ctx, b.cancel = ctx, func() {
+		cancel()
+		unwatch()
+	}
 	go func() {
 		defer close(b.done)
 		b.res = b.call.dispatch(b.ctx)
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -45,6 +45,7 @@
 		Domain         string
 		RecordResponse func(route string, a shift.Answer) // records outcomes at the server during a move
 
+		stop    *stopDeadline
 		stats   routeStatsTable
 		callers callerStats
 	}
@@ -118,6 +119,11 @@
 		return res
 	}
 	latency := in.stats.expectedLatency(c.route)
+	end, ok := in.stop.fit(arrived, arrived.Add(c.timeout), latency, c.terms.repeatable)
+	if !ok {
+		return closedResult("node stops before the request can end")
+	}
+	c.timeout = end.Sub(arrived)
 	waiter, refusal := in.Queue.Submit(sched.Request{
 		Nested:   in.callers.record(c.route, c.caller, in.View.services()),
 		Priority: c.terms.priority, TargetAt: arrived.Add(c.terms.latencyTarget),
--- a/meshd/node.go
+++ b/meshd/node.go
@@ -98,6 +98,7 @@
 		httpServers  []*http.Server
 		callerServer *http.Server
 		stopping     atomic.Bool
+		stop         *stopDeadline
 	}
 
 	// drainHandler counts callers' requests in flight and closes their connections during shutdown.
@@ -110,7 +111,7 @@
 
 // New creates a node. The node calls loadSettings to re-read its settings.
 func New(a Adapter, s params.MeshNode, loadSettings func() (params.MeshNode, error), c clockwork.Clock) *Node {
-	n := &Node{adapter: a, clock: c, loadSettings: loadSettings, meter: NewMeter()}
+	n := &Node{adapter: a, clock: c, loadSettings: loadSettings, meter: NewMeter(), stop: &stopDeadline{}}
 	n.settings.Store(&s)
 	n.view = NewMeshView(c)
 	n.view.self, n.view.domain = s.Listeners.CallsAddress(), s.Domain
@@ -156,7 +157,7 @@
 	bodies := newBodyBudget(s.Memory)
 	n.inbound = &Inbound{
 		Bodies: bodies, Clock: c, Codec: a.Codec, View: n.view, Server: n.server, Queue: n.queue, Meter: n.meter,
-		Domain: s.Domain, RecordResponse: n.mover.RecordResponse,
+		Domain: s.Domain, stop: n.stop, RecordResponse: n.mover.RecordResponse,
 		Pool: conns.New(conns.Options{
 			DialTimeout: serverDialTimeout, Opened: func() { n.meter.increment("side_server_connections_total") },
 		}),
@@ -178,6 +179,7 @@
 		Reconnector: n.reconnector,
 		StartedAt:   c.Now(),
 		Bodies:      bodies,
+		stop:        n.stop,
 	}
 	n.mover.Others = n.outbound.Others
 	n.server.notify, n.server.confirm = n.sync.Publish, n.confirmServer
@@ -356,18 +358,23 @@
 }
 
 // Stop shuts the node down gracefully. The node reports not ready and continues to serve callers for shutdownNotice,
-// notifies other nodes peerNoticeLead before the end of that time, and then completes the requests in flight.
+// notifies other nodes peerNoticeLead before the end of that time, and then completes the requests in flight. Those that
+// last too long get an answer of the node's own before the connections close.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	started := n.clock.Now()
 	grace := seconds(n.settings.Load().Bounds.Grace) - shutdownMargin
 	log.WithField("grace", grace).Info("node stopping")
+	answerAt := started.Add(grace - stopAnswerMargin)
+	n.stop.set(answerAt)
 	n.callerHandler.closing.Store(true)
 	n.waitUntil(ctx, started.Add(shutdownNotice-peerNoticeLead))
 	n.sync.PublishStopping()
 	n.waitUntil(ctx, started.Add(shutdownNotice))
 	ctx, cancel := context.WithTimeout(ctx, grace-n.clock.Since(started))
 	defer cancel()
+	answer := n.clock.AfterFunc(answerAt.Sub(n.clock.Now()), n.stop.reach)
+	defer answer.Stop()
 	var wg sync.WaitGroup
 	for _, srv := range n.httpServers {
 		wg.Go(func() {
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -56,6 +56,7 @@
 		StartedAt   time.Time
 		Bodies      *quota.Budget // memory for requests of callers and their responses
 
+		stop    *stopDeadline
 		stats   routeStatsTable
 		budgets retryBudgets
 		// others counts the requests for services other than that of the local server, and othersUnanswered those that no
@@ -144,6 +145,14 @@
 	c := o.newCall(r, table, entry, caller, share)
 	c.arrived, c.body = arrived, body
 	c.setDeadlines(caller.Deadline)
+	deadline, ok := o.stop.fit(
+		o.Clock.Now(), c.deadline, o.stats.expectedLatency(entry.Name), entry.Repeatable,
+	)
+	if !ok {
+		o.reject(w, caller.ID, http.StatusServiceUnavailable, "node stops before the request can end", notReadyRetryAfter)
+		return
+	}
+	c.deadline = deadline
 	ctx, stop := proxy.DetectClose(r.Context())
 	defer stop()
 	c.serve(ctx, w)
@@ -189,6 +198,8 @@
 
 // serve dispatches the request and writes the response.
 func (c *call) serve(ctx context.Context, w http.ResponseWriter) {
+	ctx, unwatch := c.outbound.stop.watch(ctx)
+	defer unwatch()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.finish(ctx, w, c.dispatch(ctx))
