--- a/conns/hostile_test.go
+++ b/conns/hostile_test.go
@@ -237,7 +237,12 @@
 					resp, err := conns.New(conns.Options{}).Do(t.Context(), addr, newRequest("a"))
 					var failed *conns.Error
 					if !errors.As(err, &failed) || !failed.Sent || resp != nil {
-						t.Errorf("head cut after %q: response %+v, error %v; want an error with Sent", test.head[:cut], resp, err)
+						t.Errorf(
+							"head cut after %q: response %+v, error %v; want an error with Sent",
+							test.head[:cut],
+							resp,
+							err,
+						)
 					}
 				}
 			})
--- a/meshd/exposure.go
+++ b/meshd/exposure.go
@@ -99,11 +99,22 @@
 	}
 }
 
+// isMoving reports whether a move of a service was ordered and its deadline has not passed.
+func (v *MeshView) isMoving(service string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	o, ok := v.orders[service]
+	return ok && v.clock.Since(v.orderedAt[service]) < o.Within
+}
+
 // takeExposure counts a request that is about to be sent to a version of a service. It returns false, and the time left
 // until the deadline of the move, if the version is the new one of a move and has had its allowance.
 func (v *MeshView) takeExposure(
 	service, version string, stage shift.Stage, b shift.Bound,
 ) (ok bool, remaining time.Duration) {
+	if !v.isMoving(service) {
+		return true, 0
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	a, o := v.exposure(service, version)
@@ -111,30 +122,25 @@
 		return true, 0
 	}
 	elapsed := v.clock.Since(v.orderedAt[service])
-	if elapsed >= o.Within {
-		return true, 0
-	}
 	b.Slack /= float64(max(len(v.peers), 1))
 	return a.Take(stage, b, elapsed, o.Within), o.Within - elapsed
 }
 
-// countSent counts a request after it was sent to a version of a service. It returns false if no move of the service
-// was ordered.
-func (v *MeshView) countSent(service, version string, delivered bool) (newVersion, moving bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	o, ok := v.orders[service]
-	if !ok {
+// countSent counts a request after it was sent to a version of a service, and takes it back if it did not reach a
+// server. It returns false if the service has no move or the request does not count.
+func (v *MeshView) countSent(service, version string, delivered bool) (newVersion, counted bool) {
+	if !v.isMoving(service) {
 		return false, false
 	}
-	newVersion = version == o.Target
-	switch a, _ := v.exposure(service, version); {
-	case delivered:
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	o := v.orders[service]
+	if delivered {
 		v.allowance(service, o.Offset).Add()
-	case a != nil && v.clock.Since(v.orderedAt[service]) < o.Within:
+	} else if a, _ := v.exposure(service, version); a != nil {
 		a.Return()
 	}
-	return newVersion, delivered
+	return version == o.Target, delivered
 }
 
 // exposure returns the allowance and the order of a service's move if the version is the new one and its requests are
--- a/meshd/exposure_test.go
+++ b/meshd/exposure_test.go
@@ -23,8 +23,12 @@
 // phase of its move.
 func movingView(c clockwork.Clock, phase shift.Phase) *MeshView {
 	view := NewMeshView(c)
-	view.setEntry(nodeEntry{Calls: "10.0.0.1:1", Service: testService, Server: "old", Version: "v1", Since: 1, Slots: 4})
-	view.setEntry(nodeEntry{Calls: "10.0.0.2:1", Service: testService, Server: "new", Version: "v2", Since: 2, Slots: 4})
+	view.setEntry(
+		nodeEntry{Calls: "10.0.0.1:1", Service: testService, Server: "old", Version: "v1", Since: 1, Slots: 4},
+	)
+	view.setEntry(
+		nodeEntry{Calls: "10.0.0.2:1", Service: testService, Server: "new", Version: "v2", Since: 2, Slots: 4},
+	)
 	view.SetOrder(testOrder())
 	view.setMove(testService, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: phase})
 	return view
@@ -59,7 +63,11 @@
 	view := movingView(c, shift.Switch)
 	c.Advance(moveTime - time.Second)
 	if exposed, refused := sendAll(view, 1000); exposed > 101 || exposed < 90 || refused > 0 {
-		t.Errorf("takeover: %d of 1000 requests to the new version, %d refused; want about 97 and none", exposed, refused)
+		t.Errorf(
+			"takeover: %d of 1000 requests to the new version, %d refused; want about 97 and none",
+			exposed,
+			refused,
+		)
 	}
 	view.setMove(testService, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: shift.Complete})
 	if exposed, refused := sendAll(view, 1000); exposed > 110 || exposed+refused != 1000 {
@@ -151,7 +159,13 @@
 		s.View.self = s.Self
 		s.View.setEntry(nodeEntry{Calls: "10.0.0.1:1", Service: "other", Server: "x", Version: "v1", Slots: 4})
 		s.View.setEntry(nodeEntry{
-			Calls: "10.0.0.2:1", Control: control, Service: testService, Server: "new", Version: "v2", Since: 2, Slots: 4,
+			Calls:   "10.0.0.2:1",
+			Control: control,
+			Service: testService,
+			Server:  "new",
+			Version: "v2",
+			Since:   2,
+			Slots:   4,
 		})
 		s.View.SetOrder(testOrder())
 		s.View.setMove(testService, begun)
--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -149,7 +149,8 @@
 // Halt stops requests to the local backend server if it is of the new version of a move that another node found bad.
 func (f *Feed) Halt(args HaltArgs, _ *struct{}) error {
 	if f.view.halt(args.Service, args.Order) {
-		log.WithFields(log.Fields{"service": args.Service, "order": args.Order}).Warn("new version halted by another node")
+		log.WithFields(log.Fields{"service": args.Service, "order": args.Order}).
+			Warn("new version halted by another node")
 	}
 	return nil
 }
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -149,7 +149,13 @@
 		o.Clock.Now(), c.deadline, o.stats.expectedLatency(entry.Name), entry.Repeatable,
 	)
 	if !ok {
-		o.reject(w, caller.ID, http.StatusServiceUnavailable, "node stops before the request can end", notReadyRetryAfter)
+		o.reject(
+			w,
+			caller.ID,
+			http.StatusServiceUnavailable,
+			"node stops before the request can end",
+			notReadyRetryAfter,
+		)
 		return
 	}
 	c.deadline = deadline
--- a/meshd/tally.go
+++ b/meshd/tally.go
@@ -62,13 +62,16 @@
 func (m *Mover) sendHalt(ctx context.Context, v moveView) {
 	args := HaltArgs{Service: v.order.Service, Order: v.order.Offset}
 	for _, addr := range m.View.controlAddresses(v.order.Service, v.order.Target) {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, moveCallTimeout)
-			defer cancel()
-			if err := m.Peers.Call(ctx, addr, feedService, feedService+".Halt", args, &struct{}{}); err != nil {
-				log.WithError(err).WithFields(log.Fields{"node": addr, "service": args.Service}).Warn("cannot send halt")
-			}
-		}()
+		go m.sendHaltTo(ctx, addr, args)
+	}
+}
+
+// sendHaltTo sends a halt to another node.
+func (m *Mover) sendHaltTo(ctx context.Context, addr string, args HaltArgs) {
+	ctx, cancel := context.WithTimeout(ctx, moveCallTimeout)
+	defer cancel()
+	if err := m.Peers.Call(ctx, addr, feedService, feedService+".Halt", args, &struct{}{}); err != nil {
+		log.WithError(err).WithFields(log.Fields{"node": addr, "service": args.Service}).Warn("cannot send halt")
 	}
 }
 
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -162,7 +162,9 @@
 	}
 	if o, ok := v.orders[service]; ok && o.Offset == r.Order {
 		a := v.allowance(service, r.Order)
-		fields["elapsed"], fields["sent"], fields["sent_new"] = v.clock.Since(v.orderedAt[service]), a.Total(), a.Exposed()
+		fields["elapsed"], fields["sent"], fields["sent_new"] = v.clock.Since(
+			v.orderedAt[service],
+		), a.Total(), a.Exposed()
 	}
 	log.WithFields(fields).Info("move changed")
 }
--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -295,7 +295,13 @@
 			for seed := range uint64(20) {
 				o := simulate(seed, test.behavior, steady)
 				if o.phase != test.want {
-					t.Errorf("seed %d: phase %s after %d requests to the new version, want %s", seed, o.phase, o.exposed, test.want)
+					t.Errorf(
+						"seed %d: phase %s after %d requests to the new version, want %s",
+						seed,
+						o.phase,
+						o.exposed,
+						test.want,
+					)
 				}
 				if o.exposed > o.allowed() {
 					t.Errorf("seed %d: %d of %d requests reached the new version, want at most %d",
@@ -339,7 +345,11 @@
 							at, o.exposed, o.total, o.allowed())
 					}
 					if o.afterFailures > 0 {
-						t.Errorf("fault from %s: %d requests later than 5 s after the 50th failure", at, o.afterFailures)
+						t.Errorf(
+							"fault from %s: %d requests later than 5 s after the 50th failure",
+							at,
+							o.afterFailures,
+						)
 					}
 				}
 			}
