--- a/meshd/mover_test.go
+++ b/meshd/mover_test.go
@@ -83,35 +83,52 @@
 }
 
 // TestStoreRecordOnGrownTopic guards against a decision that relies on what the node has followed and overwrites one that
-// another node has stored since, and against a read of the store where the node has followed it to its end.
+// another node has stored, whether this node has read that or not, and against a read of the store where the node has
+// followed it to its end.
 func TestStoreRecordOnGrownTopic(t *testing.T) {
 	begun := shift.Record{Order: 7, From: "v1", Target: "v2", Phase: shift.Trial}
 	back, complete := begun, begun
 	back.Phase, complete.Phase = shift.RolledBack, shift.Complete
-	for _, grown := range []bool{false, true} {
-		store := newFakeStore()
-		storeMeshRecord(t, store, "other", begun)
-		storeMeshRecord(t, store, moveKeyPrefix+testService, begun)
-		s := testSync(t, store, "10.0.0.9:1")
-		records, _, err := store.Newest(t.Context(), topicMesh)
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.applyMesh(records, true)
-		if grown {
-			storeMeshRecord(t, store, moveKeyPrefix+testService, back)
-		}
-		reads := store.reads
-		m := &Mover{Clock: s.Clock, Store: store, View: s.View}
-		stored, want := m.storeRecord(t.Context(), testService, complete), complete
-		if grown {
-			want = back
-		}
-		if got := storedMove(t, store); got != want || stored == grown {
-			t.Errorf("grown %v: stored %v, record %+v, want %+v", grown, stored, got, want)
-		}
-		if store.reads > reads && !grown {
-			t.Error("read the store, although the node has followed it to its end")
-		}
+	for _, test := range []struct {
+		name       string
+		ended      bool // another node has ended the move
+		read       bool // this node has read that
+		want       shift.Record
+		wantStored bool
+		wantReads  int
+	}{
+		{"followed to its end", false, false, complete, true, 0},
+		{"grown", true, false, back, false, 1},
+		{"ended", true, true, back, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newFakeStore()
+			storeMeshRecord(t, store, "other", begun)
+			storeMeshRecord(t, store, moveKeyPrefix+testService, begun)
+			s := testSync(t, store, "10.0.0.9:1")
+			follow := func() {
+				records, _, err := store.Newest(t.Context(), topicMesh)
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.applyMesh(records, true)
+			}
+			follow()
+			if test.ended {
+				storeMeshRecord(t, store, moveKeyPrefix+testService, back)
+			}
+			if test.read {
+				follow()
+			}
+			reads := store.reads
+			m := &Mover{Clock: s.Clock, Store: store, View: s.View}
+			stored := m.storeRecord(t.Context(), testService, complete)
+			if got := storedMove(t, store); got != test.want || stored != test.wantStored {
+				t.Errorf("stored %v, record %+v, want %+v", stored, got, test.want)
+			}
+			if got := store.reads - reads; got != test.wantReads {
+				t.Errorf("%d reads of the store, want %d", got, test.wantReads)
+			}
+		})
 	}
 }
