Leave the slack of a move to nodes that were there at its order

Found in reading the design: a node that restarts during a move counts anew and would use its part of the 50 requests again; with every node restarted once (SIGTERM in turn, a loss of power) the sum could pass the bound by about 30. A node that reads the order within 3 s of its start keeps to the share alone. Also, the age of an order in a record of another writer is checked.

--- a/meshd/exposure.go
+++ b/meshd/exposure.go
@@ -123,6 +123,9 @@
 	}
 	elapsed := v.clock.Since(v.orderedAt[service])
 	b.Slack /= float64(max(len(v.peers), 1))
+	if v.orderedBefore[service] {
+		b.Slack = 0 // the node may have used its part before a restart
+	}
 	return a.Take(stage, b, elapsed, o.Within), o.Within - elapsed
 }
 
--- a/meshd/exposure_test.go
+++ b/meshd/exposure_test.go
@@ -89,6 +89,28 @@
 	}
 }
 
+// TestExposureAfterRestart guards against nodes that each use their part of the slack again after a restart.
+func TestExposureAfterRestart(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		c := clockwork.NewFakeClock()
+		view := NewMeshView(c)
+		if !restarted {
+			c.Advance(time.Minute)
+		}
+		view.SetOrder(testOrder())
+		view.setMove(testService, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: shift.Trial})
+		sent := 0
+		for range 100 {
+			if ok, _ := view.takeExposure(testService, "v2", shift.Takeover, shift.Bound{Slack: 50}); ok {
+				sent++
+			}
+		}
+		if restarted && sent > 1 || !restarted && sent < 40 {
+			t.Errorf("restarted %v: %d requests of the slack were sent", restarted, sent)
+		}
+	}
+}
+
 // TestDeadlineWithoutCompletion guards against a node that goes on with the new version when the store is away: without
 // a completion by the deadline, the old version is in use.
 func TestDeadlineWithoutCompletion(t *testing.T) {
--- a/meshd/record.go
+++ b/meshd/record.go
@@ -28,6 +28,8 @@
 	maxLinkMegabits = 1_000_000
 	// maxColdTime bounds the remaining time of a cold start.
 	maxColdTime = time.Hour
+	// maxOrderAge bounds the age of an order in the record of its move.
+	maxOrderAge = 24 * time.Hour
 	// maxClockLead is how far the clock of another node may be ahead of the local one.
 	maxClockLead = 24 * time.Hour
 	// maxAgeYears is how long ago a version may have started. An earlier start counts as unknown.
@@ -129,6 +131,8 @@
 		return r, fmt.Errorf("phase %q is unknown", r.Phase)
 	case r.Order < 0 || r.Order > maxOffset:
 		return r, fmt.Errorf("order %d is out of range", r.Order)
+	case r.Elapsed < 0 || r.Elapsed > maxOrderAge.Milliseconds():
+		return r, fmt.Errorf("age of the order, %d ms, is out of range", r.Elapsed)
 	case len(r.Why) > maxReasonLength:
 		return r, errors.New("reason is too long")
 	}
--- a/meshd/record_test.go
+++ b/meshd/record_test.go
@@ -79,6 +79,10 @@
 			Key:   moveKeyPrefix + testService,
 			Value: []byte(`{"order":9223372036854775807,"from":"a","target":"b","phase":"back"}`),
 		},
+		"move, order too old": {
+			Key:   moveKeyPrefix + testService,
+			Value: []byte(`{"order":9,"from":"a","target":"b","phase":"back","elapsed":9223372036854775807}`),
+		},
 		"move from no version": {
 			Key:   moveKeyPrefix + testService,
 			Value: []byte(`{"order":9,"target":"b","phase":"complete"}`),
@@ -167,7 +171,8 @@
 			}
 		}
 		if r, err := decodeMove(strings.TrimPrefix(key, moveKeyPrefix), data); err == nil {
-			if !r.Phase.Valid() || r.Order < 0 || r.From == "" || r.Target == "" {
+			if !r.Phase.Valid() || r.Order < 0 || r.From == "" || r.Target == "" || r.Elapsed < 0 ||
+				r.Elapsed > maxOrderAge.Milliseconds() {
 				t.Errorf("accepted %+v", r)
 			}
 		}
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -21,12 +21,17 @@
 	"tanagershunt.example/shunt/shift"
 )
 
+// firstReadTime is the time after its start within which a node has read the orders that came before it, unless the store
+// is away.
+const firstReadTime = 3 * time.Second
+
 type (
 	// MeshView is a node's view of the mesh. Its methods are safe for concurrent use. While its lock is held, no other
 	// lock of this package is taken except those of peers.
 	MeshView struct {
-		clock clockwork.Clock
-		table atomic.Pointer[route.Table]
+		clock     clockwork.Clock
+		createdAt time.Time
+		table     atomic.Pointer[route.Table]
 		// self and domain are the address and the failure domain of this node, which order the candidates.
 		self, domain string
 
@@ -42,9 +47,11 @@
 		evacuated map[string]bool // failure domains that the operator has taken out of service
 		orders    map[string]shunt.ShiftOrder
 		orderedAt map[string]time.Time // when an order was first read, by service
-		moves     map[string]*moveState
-		peers     map[string]*peerNode // by address as in nodeEntry.Calls, including this node
-		tallies   map[string]map[string]*shift.AnswerCounts
+		// orderedBefore has the services whose order may have come before this node started.
+		orderedBefore map[string]bool
+		moves         map[string]*moveState
+		peers         map[string]*peerNode // by address as in nodeEntry.Calls, including this node
+		tallies       map[string]map[string]*shift.AnswerCounts
 		// allowances holds what this node has sent since the order of a service's move.
 		allowances map[string]*shift.Allowance
 		halted     map[string]int64 // order of the move whose new version is halted, by service
@@ -62,15 +69,18 @@
 func NewMeshView(c clockwork.Clock) *MeshView {
 	return &MeshView{
 		clock:      c,
+		createdAt:  c.Now(),
 		configured: make(chan struct{}),
 		evacuated:  make(map[string]bool),
 		orders:     make(map[string]shunt.ShiftOrder),
 		orderedAt:  make(map[string]time.Time),
-		moves:      make(map[string]*moveState),
-		peers:      make(map[string]*peerNode),
-		tallies:    make(map[string]map[string]*shift.AnswerCounts),
-		allowances: make(map[string]*shift.Allowance),
-		halted:     make(map[string]int64),
+
+		orderedBefore: make(map[string]bool),
+		moves:         make(map[string]*moveState),
+		peers:         make(map[string]*peerNode),
+		tallies:       make(map[string]map[string]*shift.AnswerCounts),
+		allowances:    make(map[string]*shift.Allowance),
+		halted:        make(map[string]int64),
 	}
 }
 
@@ -134,6 +144,7 @@
 	}
 	v.orders[o.Service] = o
 	v.orderedAt[o.Service] = v.clock.Now()
+	v.orderedBefore[o.Service] = v.clock.Since(v.createdAt) < firstReadTime
 	v.adjustOrderedAt(o.Service)
 	log.WithFields(log.Fields{
 		"service": o.Service, "version": o.Target, "within": o.Within, "order": o.Offset,
