Spread the sample over the trial, and ask for the evidence before the completion

Traced with logs beside ten busy processes (3 of 3 failed): 15 of the 20 answers that the switch needs had come. Causes: the test's settings had no slack, which the settings file has by default; a node that had started within 3 s before the order was taken for a restarted one; and a service with few requests was offered too few, its slack used first while servers were cold.

The sample's part of the slack grows with the time, a fifth of the requests is offered and the allowance decides, and the 20 answers are needed before the completion, while the old version is still in use; 10 before the announcement. Whether an order may have come before a node started is told by its first read of the orders, not by time. TestMove beside the same load: 6 of 6 pass.

--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -103,6 +103,7 @@
 func (s *StateSync) applyOrders(records []shunt.KeyedRecord, whole bool) {
 	evacuated := make(map[string]bool)
 	var skipped skippedRecords
+	first := s.View.Table() == nil
 	for _, k := range records {
 		order, err := s.Operator.Decode(k)
 		if err != nil {
@@ -114,7 +115,7 @@
 			s.View.SetConfig(order.Config)
 			s.Server.ApplyConfig()
 		case shunt.RecordShift:
-			s.View.SetOrder(order.Shift)
+			s.View.SetOrder(order.Shift, first)
 		case shunt.RecordEvacuate:
 			evacuated[order.Domain] = !order.Dropped
 		case shunt.RecordOther:
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -21,17 +21,12 @@
 	"tanagershunt.example/shunt/shift"
 )
 
-// firstReadTime is the time after its start within which a node has read the orders that came before it, unless the store
-// is away.
-const firstReadTime = 3 * time.Second
-
 type (
 	// MeshView is a node's view of the mesh. Its methods are safe for concurrent use. While its lock is held, no other
 	// lock of this package is taken except those of peers.
 	MeshView struct {
-		clock     clockwork.Clock
-		createdAt time.Time
-		table     atomic.Pointer[route.Table]
+		clock clockwork.Clock
+		table atomic.Pointer[route.Table]
 		// self and domain are the address and the failure domain of this node, which order the candidates.
 		self, domain string
 
@@ -69,7 +64,6 @@
 func NewMeshView(c clockwork.Clock) *MeshView {
 	return &MeshView{
 		clock:      c,
-		createdAt:  c.Now(),
 		configured: make(chan struct{}),
 		evacuated:  make(map[string]bool),
 		orders:     make(map[string]shunt.ShiftOrder),
@@ -135,8 +129,9 @@
 	return v.evacuated[domain]
 }
 
-// SetOrder records the operator's order to move a service to another version.
-func (v *MeshView) SetOrder(o shunt.ShiftOrder) {
+// SetOrder records the operator's order to move a service to another version. An order that is read at the start of the
+// node may have come before it.
+func (v *MeshView) SetOrder(o shunt.ShiftOrder, atStart bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if old, ok := v.orders[o.Service]; ok && old.Offset >= o.Offset {
@@ -144,7 +139,7 @@
 	}
 	v.orders[o.Service] = o
 	v.orderedAt[o.Service] = v.clock.Now()
-	v.orderedBefore[o.Service] = v.clock.Since(v.createdAt) < firstReadTime
+	v.orderedBefore[o.Service] = atStart
 	v.adjustOrderedAt(o.Service)
 	log.WithFields(log.Fields{
 		"service": o.Service, "version": o.Target, "within": o.Within, "order": o.Offset,
--- a/shift/allowance.go
+++ b/shift/allowance.go
@@ -7,7 +7,8 @@
 	// and the other does not, for example because a server never answered.
 	usedShare = 0.97
 	usedSlack = 0.95
-	// sampleShare and sampleSlack are the parts of the allowance that the trial may use outside its load test.
+	// sampleShare and sampleSlack are the parts of the allowance that the trial may use outside its load test, evenly over
+	// its time.
 	sampleShare = 0.1
 	sampleSlack = 0.7
 	// usualDrain is the usual time from the takeover to the completion. The requests from the takeover to the deadline are
@@ -78,7 +79,8 @@
 	takeover := perSecond * (completeLead(within) + usualDrain).Seconds()
 	before := atDeadline + slack - min(takeover, takeoverShare*atDeadline)
 	if stage == Sample {
-		before = min(before, sampleShare*share*float64(a.total)+sampleSlack*slack)
+		part := elapsed.Seconds() / within.Seconds()
+		before = min(before, sampleShare*share*float64(a.total)+sampleSlack*slack*part)
 	}
 	return min(now, before)
 }
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -57,8 +57,9 @@
 )
 
 const (
-	// sampleOffer is the share of the requests that is offered to the new version during the trial.
-	sampleOffer = 0.05
+	// sampleOffer is the share of the requests that is offered to the new version during the trial. The allowance takes
+	// less of them, unless the service has few requests.
+	sampleOffer = 0.2
 	// loadTestOffer is the largest share of the service's requests offered to the one server under load test, and
 	// loadTestFactor the multiple of the share that a server of the new version gets after the takeover.
 	loadTestOffer  = 0.4
@@ -68,9 +69,10 @@
 	drainFactor = 2.5
 	minDrain    = 150 * time.Millisecond
 	maxDrain    = time.Second
-	// minTrialRequests is the minimum number of requests to the new version, with or without an answer, before the
-	// switch.
-	minTrialRequests = 20
+	// minSwitchRequests and minTrialRequests are the minimum numbers of requests to the new version, with or without an
+	// answer, before the switch is announced and before the completion. The load test and the takeover add to them.
+	minSwitchRequests = 10
+	minTrialRequests  = 20
 	// maxFailureShare and minFailures end a move without a comparison of the versions: at least minFailures failures
 	// that make up at least maxFailureShare of the recent requests are not due to chance.
 	maxFailureShare = 0.2
@@ -174,9 +176,10 @@
 	case f.Elapsed >= f.Within:
 		return RolledBack, "not completed by the deadline"
 	case r.Phase == Trial && f.Elapsed >= f.Within-switchLead && f.Elapsed <= f.Within-completeLead(f.Within)-minSwitch &&
-		f.NewReady > 0 && f.Answers >= minTrialRequests:
+		f.NewReady > 0 && f.Answers >= minSwitchRequests:
 		return Switch, "trial showed no fault"
-	case r.Phase == Switch && f.Elapsed >= f.Within-completeLead(f.Within) && f.InPhase >= minSwitch:
+	case r.Phase == Switch && f.Elapsed >= f.Within-completeLead(f.Within) && f.InPhase >= minSwitch &&
+		f.Answers >= minTrialRequests:
 		return f.complete()
 	}
 	return r.Phase, ""
