Review case 4: a roll-out is complete without a trial after a restart

Seen: all processes are killed as a roll-out is ordered. The nodes of the new version start first, find the old version's nodes closed and take the new version for the one in service: the move is stored as complete, "service has the version already", 1.2 s after the order. The old upstreams stop; the bad version gets 745 requests from machines in touch, 148 are allowed.

Code at fault: baseline.before and buildIndex (meshd/index.go): nodes that a new process has not reached yet and that refuse one connection count as not existing. begin (meshd/mover.go) completes the move on that alone.

--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -45,6 +45,7 @@
 		"late-heartbeat": playLateHeartbeat,
 		"late-write":     playLateWrite,
 		"stale-relay":    playStaleRelay,
+		"skipped-trial":  playSkippedTrial,
 	}
 )
 
--- a/review/testdata/rig/relay.go
+++ b/review/testdata/rig/relay.go
@@ -75,9 +75,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	ordered := time.Now()
-	w.store.fake.Put(words["topicOperator"], "rollout/specimen",
-		fmt.Sprintf(`{"service":"specimen","target-version":%q,"duration-s":%d}`, target, int(moveTime.Seconds())))
-	w.rec.printf("operator: roll-out of %s ordered, to be done in %v", target, moveTime)
+	w.orderRollout("specimen", target)
 	go w.watchRollout("specimen", old)
 	time.AfterFunc(joinAfter, func() {
 		if err := errors.Join(joins.server.start(), joins.start()); err != nil {
@@ -107,6 +105,14 @@
 	return broken, nil
 }
 
+// orderRollout orders the roll-out of a version, as the operator does.
+func (w *world) orderRollout(service, target string) {
+	w.store.fake.Put(words["topicOperator"], "rollout/"+service, fmt.Sprintf(
+		`{"service":%q,"target-version":%q,"duration-s":%d}`, service, target, int(moveTime.Seconds()),
+	))
+	w.rec.printf("operator: roll-out of %s ordered, to be done in %v", target, moveTime)
+}
+
 // versionRankedFirst returns the name of a version for whose roll-out a node is the first to decide. Such a node is one of
 // them all for each order.
 func (w *world) versionRankedFirst(of *machine, service string) string {
@@ -142,7 +148,7 @@
 				for _, m := range old {
 					m.server.crash()
 					w.rec.printf("platform: old server %s stops", m.server.id)
-					go m.stop()
+					go m.remove()
 				}
 			case strings.Contains(status.State, "rolled"):
 				w.rec.printf("operator: the roll-out was rolled back")
--- a/review/testdata/rig/upstream.go
+++ b/review/testdata/rig/upstream.go
@@ -35,11 +35,13 @@
 		slots    chan struct{}
 		sequence int64
 
-		mu       sync.Mutex
-		waiting  int
-		leaving  bool
-		silent   bool // sends no more heartbeats
-		arrivals []arrival
+		mu        sync.Mutex
+		waiting   int
+		leaving   bool
+		silent    bool    // sends no more heartbeats
+		slowShare float64 // of the requests that take slowBy times as long
+		slowBy    float64
+		arrivals  []arrival
 	}
 
 	// arrival is a request that the server began to run.
@@ -200,7 +202,7 @@
 		limit = time.Duration(ms * float64(time.Millisecond))
 	}
 	status := http.StatusOK
-	work := u.work
+	work := u.workTime()
 	if work > limit {
 		work, status = limit, http.StatusGatewayTimeout
 	}
@@ -216,6 +218,22 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s %d bytes", u.id, r.Method, r.RequestURI, len(body))
 }
 
+// becomesSlow lets a share of the requests take longer.
+func (u *upstream) becomesSlow(share, by float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.slowShare, u.slowBy = share, by
+}
+
+func (u *upstream) workTime() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if rand.Float64() < u.slowShare {
+		return time.Duration(u.slowBy * float64(u.work))
+	}
+	return u.work
+}
+
 // enter waits for a slot; it reports false if the queue is full.
 func (u *upstream) enter(ctx context.Context) bool {
 	u.mu.Lock()
--- a/review/testdata/rig/world.go
+++ b/review/testdata/rig/world.go
@@ -69,6 +69,7 @@
 		cmd       *exec.Cmd
 		exited    chan struct{}
 		startedAt time.Time
+		removed   bool
 	}
 
 	routeSpec struct {
@@ -242,11 +243,18 @@
 	m.world.rec.printf("platform: node %s has exited", m.name)
 }
 
-// upFor returns the time since the start of the process.
-func (m *machine) upFor() time.Duration {
+// remove stops the node for good, after its server has ended.
+func (m *machine) remove() {
+	m.mu.Lock()
+	m.removed = true
+	m.mu.Unlock()
+	m.stop()
+}
+
+func (m *machine) isRemoved() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.startedAt)
+	return m.removed
 }
 
 func (m *machine) ready() bool {
