--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/tsmesh ] && [ -x ../../target/review/rig ] || { echo "build first: the deploy file's build, review/build.sh"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec ../../target/review/rig -mesh ../../target/tsmesh -record record.txt stale-relay
+exec ../../target/review/rig -mesh ../../target/tsmesh -record record.txt skipped-trial
--- a/review/testdata/rig/baseline.go
+++ b/review/testdata/rig/baseline.go
@@ -8,9 +8,9 @@
 
 const (
 	// downTime is how long the killed processes are down.
-	downTime = 2 * time.Second
+	downTime = 500 * time.Millisecond
 	// joinDelay is the time from the order to the start of the machines of the new version.
-	joinDelay = 600 * time.Millisecond
+	joinDelay = 0
 	// slowShare of the requests to the bad version take slowFactor times as long.
 	slowShare  = 0.5
 	slowFactor = 8
@@ -81,7 +81,7 @@
 			return false, err
 		}
 		w.rec.printf("platform: node %s is ready and gets callers", m.name)
-		t.send(m, "/browse/", 10)
+		t.send(m, "/browse/", 25)
 	}
 	time.Sleep(time.Until(ordered.Add(moveTime)))
 	deadline := time.Now()
