Keep the old version in service while an ordered move has not begun

Cause: a node that this process had never reached and that refused one connection counted as one that does not exist, and its version came last in the choice of the version in service. In a process that has just started, nothing was ever reached. A wrong order of the topics and an unread mesh topic were ruled out: the move began after both were read.

Change: with an order to the version that results, a version deployed before it stays in service until its nodes have been out of reach for 15 s. Requests, admission and the begin of the move use one function. The part of the slack counts as spent after a restart only if the first read of the mesh topic has the move's record: no request goes to the new version before it is stored. TestExposureAfterRestart took any order read at the start for that; its restarted cases now have the record, and the bound for them is unchanged.

--- a/meshd/exposure.go
+++ b/meshd/exposure.go
@@ -123,7 +123,7 @@
 	}
 	elapsed := v.clock.Since(v.orderedAt[service])
 	b.Slack /= float64(max(len(v.peers), 1))
-	if v.orderedBefore[service] {
+	if order, ok := v.begunBefore[service]; ok && order == o.Offset {
 		b.Slack = 0 // the node may have used its part before a restart
 	}
 	return a.Take(stage, b, elapsed, o.Within), o.Within - elapsed
--- a/meshd/exposure_test.go
+++ b/meshd/exposure_test.go
@@ -29,7 +29,7 @@
 	view.setEntry(
 		nodeEntry{Calls: "10.0.0.2:1", Service: testService, Server: "new", Version: "v2", Since: 2, Slots: 4},
 	)
-	view.SetOrder(testOrder(), false)
+	view.SetOrder(testOrder())
 	view.setMove(testService, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: phase})
 	return view
 }
@@ -89,29 +89,54 @@
 	}
 }
 
-// TestExposureAfterRestart guards against nodes that each use their part of the slack again after a restart.
+// TestExposureAfterRestart guards against nodes that each use their part of the slack again after a restart: a node whose
+// first read of the mesh topic has the move may have used it. One that has restarted before the move began has not.
 func TestExposureAfterRestart(t *testing.T) {
-	for _, restarted := range []bool{false, true} {
-		store := newFakeStore()
-		storeOrders(t, store, configRecord(1))
-		s := testSync(t, store, "10.0.0.9:1")
-		order := orderRecord(shunt.OperatorRecord{Kind: shunt.RecordShift, Shift: testOrder()})
-		order.Offset = testOrder().Offset
-		if !restarted {
-			s.applyOrders([]shunt.KeyedRecord{configRecord(1)}, true)
-		}
-		s.applyOrders([]shunt.KeyedRecord{configRecord(1), order}, restarted)
-		view := s.View
-		view.setMove(testService, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: shift.Trial})
-		sent := 0
-		for range 100 {
-			if ok, _ := view.takeExposure(testService, "v2", shift.Takeover, shift.Bound{Slack: 50}); ok {
-				sent++
+	for _, test := range []struct {
+		name         string
+		orderAtStart bool
+		begunAtStart bool
+		least, most  int
+	}{
+		{"running since before the order", false, false, 40, 50},
+		{"restarted between the order and the begin", true, false, 40, 50},
+		{"restarted in the move", true, true, 0, 1},
+		{"restarted in the move, order read late", false, true, 0, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := testSync(t, newFakeStore(), "10.0.0.9:1")
+			order := orderRecord(shunt.OperatorRecord{Kind: shunt.RecordShift, Shift: testOrder()})
+			order.Offset = testOrder().Offset
+			move := shunt.KeyedRecord{
+				Key:   moveKeyPrefix + testService,
+				Value: marshal(t, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: shift.Trial}),
 			}
-		}
-		if restarted && sent > 1 || !restarted && sent < 40 {
-			t.Errorf("restarted %v: %d requests of the slack were sent", restarted, sent)
-		}
+			readMesh := func(records ...shunt.KeyedRecord) {
+				s.applyMesh(records, !s.meshRead.Load())
+				s.meshRead.Store(true)
+			}
+			if test.begunAtStart {
+				readMesh(move)
+			} else {
+				readMesh()
+			}
+			if test.orderAtStart {
+				s.applyOrders([]shunt.KeyedRecord{configRecord(1), order}, true)
+			} else {
+				s.applyOrders([]shunt.KeyedRecord{configRecord(1)}, true)
+				s.applyOrders([]shunt.KeyedRecord{order}, false)
+			}
+			readMesh(move)
+			sent := 0
+			for range 100 {
+				if ok, _ := s.View.takeExposure(testService, "v2", shift.Takeover, shift.Bound{Slack: 50}); ok {
+					sent++
+				}
+			}
+			if sent < test.least || sent > test.most {
+				t.Errorf("%d requests of the slack were sent, want %d to %d", sent, test.least, test.most)
+			}
+		})
 	}
 }
 
@@ -135,7 +160,7 @@
 	}
 	next := testOrder()
 	next.Offset, next.Target = 9, "v3"
-	view.SetOrder(next, false)
+	view.SetOrder(next)
 	view.setMove(testService, shift.Record{Order: 9, From: "v2", Target: "v3", Phase: shift.Trial, FromClosed: true})
 	chosen := view.chooseVersion(testService, versionRequest{draw: 0.9})
 	if chosen.refusal == "" || view.allowsVersion(testService, "v2") || !view.allowsVersion(testService, "v3") {
@@ -151,13 +176,13 @@
 		c := clockwork.NewFakeClock()
 		view := NewMeshView(c)
 		if orderFirst {
-			view.SetOrder(testOrder(), false)
+			view.SetOrder(testOrder())
 			c.Advance(time.Second)
 		}
 		view.setMove(testService, record)
 		if !orderFirst {
 			c.Advance(time.Second)
-			view.SetOrder(testOrder(), false)
+			view.SetOrder(testOrder())
 		}
 		want := 12500 * time.Millisecond
 		if !orderFirst {
@@ -193,7 +218,7 @@
 			Since:   2,
 			Slots:   4,
 		})
-		s.View.SetOrder(testOrder(), false)
+		s.View.SetOrder(testOrder())
 		s.View.setMove(testService, begun)
 		movers = append(movers, &Mover{
 			Clock: s.Clock, Store: s.Store, Operator: fakeOperatorCodec{}, View: s.View, Server: s.Server, Self: s.Self,
--- a/meshd/index.go
+++ b/meshd/index.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 const (
@@ -13,27 +14,39 @@
 	maxLocalCandidates  = 32
 	maxRemoteCandidates = 16
 	drawnCandidates     = 4
+	// absentAfter is how long a node that this process has never reached may be out of reach before it counts as absent.
+	// It exceeds the time that a restart of the node's instance takes.
+	absentAfter = 15 * time.Second
 )
 
 type (
 	// meshIndex is a summary of the entries and the reachability of the nodes. It does not change; requests read it
 	// without a lock.
 	meshIndex struct {
-		generation uint64   // of the view from which it was built
-		live       []string // addresses of the nodes that are reachable and not stopping
-		domains    []string // failure domains of the nodes that are not stopping, sorted
-		services   []string // services of the nodes that are not stopping, sorted
-		baselines  map[string]baseline
+		generation uint64                    // of the view from which it was built
+		live       []string                  // addresses of the nodes that are reachable and not stopping
+		domains    []string                  // failure domains of the nodes that are not stopping, sorted
+		services   []string                  // services of the nodes that are not stopping, sorted
+		versions   map[string][]versionState // by service
 		eligible   map[serviceVersion]*eligibleNodes
 	}
 
 	serviceVersion struct{ service, version string }
 
-	// baseline is the version of a service that serves when there is no move, with the entry that decides it.
-	baseline struct {
-		version, addr string
-		since         int64
-		exists        bool // whether the node of the entry may exist
+	// versionState is what the entries show of a version of a service.
+	versionState struct {
+		version string
+		first   versionStart // the earliest start, of a node that may exist if there is one
+		oldest  versionStart // the earliest start, whether its node may exist or not
+		// absentFrom is when the last of the version's nodes counts as absent. It is set if none may exist.
+		absentFrom time.Time
+	}
+
+	// versionStart is the start of a version at a node.
+	versionStart struct {
+		addr   string
+		since  int64
+		exists bool // whether the node may exist
 	}
 
 	// eligibleNodes are the nodes whose servers may run requests of a service's version.
@@ -65,23 +78,20 @@
 // buildIndex builds the index. The caller must hold the lock.
 func (v *MeshView) buildIndex(generation uint64) *meshIndex {
 	ix := &meshIndex{
-		generation: generation, live: make([]string, 0, len(v.peers)), baselines: make(map[string]baseline),
+		generation: generation, live: make([]string, 0, len(v.peers)), versions: make(map[string][]versionState),
 		eligible: make(map[serviceVersion]*eligibleNodes),
 	}
 	groups := make(map[serviceVersion][]indexedNode)
 	domains, services := make(map[string]bool), make(map[string]bool)
 	for addr, p := range v.peers {
-		e, exists, unreachable := p.indexed()
+		e, exists, unreachableSince := p.indexed()
 		if e.Service != "" && e.Version != "" {
-			candidate := baseline{e.Version, addr, e.Since, exists}
-			if oldest, ok := ix.baselines[e.Service]; !ok || candidate.before(oldest) {
-				ix.baselines[e.Service] = candidate
-			}
+			ix.addVersion(e, exists, unreachableSince)
 		}
 		if e.Stopping {
 			continue
 		}
-		if !unreachable {
+		if unreachableSince.IsZero() {
 			ix.live = append(ix.live, addr)
 		}
 		domains[e.Domain] = true
@@ -101,12 +111,66 @@
 	return ix
 }
 
-// before reports whether a baseline goes before another one of the same service.
-func (b baseline) before(other baseline) bool {
-	if b.exists != other.exists {
-		return b.exists
+// addVersion adds the version of a node's entry to the versions of its service.
+func (ix *meshIndex) addVersion(e nodeEntry, exists bool, unreachableSince time.Time) {
+	start := versionStart{e.Calls, e.Since, exists}
+	absentFrom := unreachableSince.Add(absentAfter)
+	versions := ix.versions[e.Service]
+	i := slices.IndexFunc(versions, func(s versionState) bool { return s.version == e.Version })
+	if i < 0 {
+		ix.versions[e.Service] = append(versions, versionState{e.Version, start, start, absentFrom})
+		return
+	}
+	s := &versions[i]
+	if start.before(s.first) {
+		s.first = start
+	}
+	if start.isOlder(s.oldest) {
+		s.oldest = start
+	}
+	if absentFrom.After(s.absentFrom) {
+		s.absentFrom = absentFrom
+	}
+}
+
+// baseline returns the version of a service that serves when there is no move: the one that was deployed first. Versions
+// without a node that may exist come last.
+//
+// With an order to move to the version that results, an older one counts until its nodes have been out of reach for
+// absentAfter. A node that has just started has reached no other node, and the servers of the new version start with the
+// order: a restart of the old version's nodes must not put the new one in service without a trial.
+func (ix *meshIndex) baseline(service, ordered string, now time.Time) string {
+	versions := ix.versions[service]
+	if len(versions) == 0 {
+		return ""
+	}
+	best := versions[0]
+	for _, s := range versions[1:] {
+		if s.first.before(best.first) {
+			best = s
+		}
+	}
+	if best.version != ordered {
+		return best.version
+	}
+	for _, s := range versions {
+		if !s.first.exists && now.Before(s.absentFrom) && s.oldest.isOlder(best.oldest) {
+			best = s
+		}
+	}
+	return best.version
+}
+
+// before reports whether a start goes before another one in the choice of the version in service.
+func (s versionStart) before(other versionStart) bool {
+	if s.exists != other.exists {
+		return s.exists
 	}
-	return cmp.Or(compareStarts(b.since, other.since), cmp.Compare(b.addr, other.addr)) < 0
+	return s.isOlder(other)
+}
+
+func (s versionStart) isOlder(other versionStart) bool {
+	return cmp.Or(compareStarts(s.since, other.since), cmp.Compare(s.addr, other.addr)) < 0
 }
 
 func newEligibleNodes(nodes []indexedNode) *eligibleNodes {
--- a/meshd/mover_test.go
+++ b/meshd/mover_test.go
@@ -40,7 +40,7 @@
 		if ready {
 			storeMeshRecord(t, store, moveKeyPrefix+testService, begun)
 		}
-		s.View.SetOrder(order, false)
+		s.View.SetOrder(order)
 		s.View.setEntry(
 			nodeEntry{Calls: s.Self, Service: testService, Server: "new", Version: "v2", Born: 9, Since: 9, Slots: 1},
 		)
@@ -57,6 +57,69 @@
 	}
 }
 
+// TestNoCompletionWithoutTrial guards against a node that has just started and completes a move without a trial, or runs
+// requests on the new version: the nodes of the old version restart at the same moment, so that their first connections
+// are refused, and the new version's are the only ones that have been reached.
+func TestNoCompletionWithoutTrial(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	store := newFakeStore()
+	s := testSync(t, store, "10.0.0.9:1")
+	s.Clock, s.View.clock = c, c
+	storeMeshRecord(t, store, "other", nodeEntry{})
+	old := nodeEntry{Calls: "10.0.0.1:1", Service: testService, Server: "old", Version: "v1", Since: 1, Slots: 4}
+	s.View.setEntry(old)
+	s.View.setEntry(nodeEntry{Calls: s.Self, Service: testService, Server: "new", Version: "v2", Since: 9, Slots: 4})
+	s.View.SetOrder(testOrder())
+	refuseConnection := func() {
+		p := s.View.peers[old.Calls]
+		p.endRequest(p.startRequest(c.Now()), c.Now(), nil, false, true, true)
+	}
+	refuseConnection()
+	if s.View.allowsVersion(testService, "v2") {
+		t.Error("servers of the new version may run requests before the move has begun")
+	}
+	if got := s.View.chooseVersion(testService, versionRequest{}).version; got != "v1" {
+		t.Errorf("requests go to version %s, want v1", got)
+	}
+	m := &Mover{
+		Clock: c, Store: store, Operator: fakeOperatorCodec{}, View: s.View, Server: s.Server, Self: s.Self,
+		Ready: func() bool { return true }, moves: make(map[string]*moveEvaluation),
+	}
+	for range 3 {
+		for _, v := range s.View.orderedMoves() {
+			m.evaluate(t.Context(), v)
+		}
+		c.Advance(evaluateInterval)
+		refuseConnection()
+	}
+	if got := storedMove(t, store); got.From != "v1" || got.Phase != shift.Trial {
+		t.Errorf("stored %+v, want a trial beside v1", got)
+	}
+}
+
+// TestMoveToVersionInService checks that an order to move to the version in service completes without a trial, also
+// beside the entry of a node of another version that does not exist. That node counts as absent once it has been out of
+// reach for absentAfter.
+func TestMoveToVersionInService(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	view := NewMeshView(c)
+	view.setEntry(nodeEntry{Calls: "10.0.0.1:1", Service: testService, Server: "a", Version: "v2", Since: 9, Slots: 4})
+	stranger := nodeEntry{Calls: "10.0.0.9:1", Service: testService, Server: "b", Version: "v0", Since: 1, Slots: 4}
+	view.setEntry(stranger)
+	p := view.peers[stranger.Calls]
+	p.endRequest(p.startRequest(c.Now()), c.Now(), nil, false, true, true)
+	view.SetOrder(testOrder())
+	for _, step := range []struct {
+		after time.Duration
+		want  string
+	}{{0, "v0"}, {absentAfter - 1, "v0"}, {1, "v2"}} {
+		c.Advance(step.after)
+		if got := view.orderedMoves()[0].currentVersion; got != step.want {
+			t.Errorf("after another %s: version %s in service, want %s", step.after, got, step.want)
+		}
+	}
+}
+
 // TestBaselineVersion checks that the version in service stays the one deployed first when all its servers are replaced
 // by later ones while servers of a new version are already running.
 func TestBaselineVersion(t *testing.T) {
--- a/meshd/moves.go
+++ b/meshd/moves.go
@@ -22,7 +22,7 @@
 
 // orderedMoves returns the moves that the operator has ordered.
 func (v *MeshView) orderedMoves() []moveView {
-	baselines := v.index().baselines
+	ix := v.index()
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var list []moveView
@@ -37,7 +37,7 @@
 		} else if s != nil {
 			m.currentVersion, m.currentClosed = s.InUse(), s.Phase == shift.Closed
 		} else {
-			m.currentVersion = baselines[service].version
+			m.currentVersion = v.baselineOf(ix, service)
 		}
 		for _, p := range v.peers {
 			e := p.currentEntry()
--- a/meshd/operators.go
+++ b/meshd/operators.go
@@ -105,10 +105,10 @@
 	defer v.mu.RUnlock()
 	list := make([]opapi.MeshEntry, 0, len(v.peers))
 	for _, p := range v.peers {
-		e, _, unreachable := p.indexed()
+		e, _, unreachableSince := p.indexed()
 		list = append(list, opapi.MeshEntry{
 			Address: e.Calls, Operators: e.Operators, Domain: e.Domain, Service: e.Service, Server: e.Server,
-			Version: e.Version, Leaving: e.Leaving, Stopping: e.Stopping, Unreachable: unreachable,
+			Version: e.Version, Leaving: e.Leaving, Stopping: e.Stopping, Unreachable: !unreachableSince.IsZero(),
 		})
 	}
 	slices.SortFunc(list, func(a, b opapi.MeshEntry) int { return cmp.Compare(a.Address, b.Address) })
--- a/meshd/peer.go
+++ b/meshd/peer.go
@@ -34,11 +34,13 @@
 		loadAt      time.Time
 		pending     map[int]time.Time // start times of this node's requests without a response
 		lastRequest int
-		failureRate float64   // moving share of attempts that failed at the server
-		reached     bool      // an attempt or a connection has succeeded
-		unreachable bool      // the last attempt got no response, see call.attempt for the exceptions
-		pausedUntil time.Time // no requests are sent before
-		coldSends   []time.Time
+		failureRate float64 // moving share of attempts that failed at the server
+		reached     bool    // an attempt or a connection has succeeded
+		unreachable bool    // the last attempt got no response, see call.attempt for the exceptions
+		// unreachableSince is when the node became unreachable.
+		unreachableSince time.Time
+		pausedUntil      time.Time // no requests are sent before
+		coldSends        []time.Time
 	}
 
 	// loadReport is the load of a server as reported by its node with a response.
@@ -62,12 +64,15 @@
 	return p.entry, p.entryAt
 }
 
-// indexed returns the node's entry, whether the node may exist, and whether it is unreachable. It may exist if it has been
-// reached, or no attempt has shown it as unreachable.
-func (p *peerNode) indexed() (e nodeEntry, exists, unreachable bool) {
+// indexed returns the node's entry, whether the node may exist, and since when it is unreachable, or zero if it is not.
+// It may exist if it has been reached, or no attempt has shown it as unreachable.
+func (p *peerNode) indexed() (e nodeEntry, exists bool, unreachableSince time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.entry, p.reached || !p.unreachable, p.unreachable
+	if !p.unreachable {
+		return p.entry, true, time.Time{}
+	}
+	return p.entry, p.reached, p.unreachableSince
 }
 
 // setReachable records whether the node is reachable. The caller must hold the lock.
@@ -178,7 +183,9 @@
 		}
 	}
 	if !reachable {
-		becameUnreachable = !p.unreachable
+		if becameUnreachable = !p.unreachable; becameUnreachable {
+			p.unreachableSince = now
+		}
 		p.setReachable(false)
 		return becameUnreachable
 	}
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -103,7 +103,6 @@
 func (s *StateSync) applyOrders(records []shunt.KeyedRecord, whole bool) {
 	evacuated := make(map[string]bool)
 	var skipped skippedRecords
-	first := s.View.Table() == nil
 	for _, k := range records {
 		order, err := s.Operator.Decode(k)
 		if err != nil {
@@ -115,7 +114,7 @@
 			s.View.SetConfig(order.Config)
 			s.Server.ApplyConfig()
 		case shunt.RecordShift:
-			s.View.SetOrder(order.Shift, first)
+			s.View.SetOrder(order.Shift)
 		case shunt.RecordEvacuate:
 			evacuated[order.Domain] = !order.Dropped
 		case shunt.RecordOther:
@@ -142,6 +141,9 @@
 	}
 	// The offset stands for records that are in the view, so it follows them.
 	s.View.advanceMeshOffset(last)
+	if !s.meshRead.Load() {
+		s.View.markBegunBefore()
+	}
 	skipped.report(topicMesh, s.Meter)
 }
 
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -42,11 +42,11 @@
 		evacuated map[string]bool // failure domains that the operator has taken out of service
 		orders    map[string]shunt.ShiftOrder
 		orderedAt map[string]time.Time // when an order was first read, by service
-		// orderedBefore has the services whose order may have come before this node started.
-		orderedBefore map[string]bool
-		moves         map[string]*moveState
-		peers         map[string]*peerNode // by address as in nodeEntry.Calls, including this node
-		tallies       map[string]map[string]*shift.AnswerCounts
+		// begunBefore has the orders of the moves that had begun when this node started, by service.
+		begunBefore map[string]int64
+		moves       map[string]*moveState
+		peers       map[string]*peerNode // by address as in nodeEntry.Calls, including this node
+		tallies     map[string]map[string]*shift.AnswerCounts
 		// allowances holds what this node has sent since the order of a service's move.
 		allowances map[string]*shift.Allowance
 		halted     map[string]int64 // order of the move whose new version is halted, by service
@@ -69,12 +69,12 @@
 		orders:     make(map[string]shunt.ShiftOrder),
 		orderedAt:  make(map[string]time.Time),
 
-		orderedBefore: make(map[string]bool),
-		moves:         make(map[string]*moveState),
-		peers:         make(map[string]*peerNode),
-		tallies:       make(map[string]map[string]*shift.AnswerCounts),
-		allowances:    make(map[string]*shift.Allowance),
-		halted:        make(map[string]int64),
+		begunBefore: make(map[string]int64),
+		moves:       make(map[string]*moveState),
+		peers:       make(map[string]*peerNode),
+		tallies:     make(map[string]map[string]*shift.AnswerCounts),
+		allowances:  make(map[string]*shift.Allowance),
+		halted:      make(map[string]int64),
 	}
 }
 
@@ -129,9 +129,8 @@
 	return v.evacuated[domain]
 }
 
-// SetOrder records the operator's order to move a service to another version. An order that is read at the start of the
-// node may have come before it.
-func (v *MeshView) SetOrder(o shunt.ShiftOrder, atStart bool) {
+// SetOrder records the operator's order to move a service to another version.
+func (v *MeshView) SetOrder(o shunt.ShiftOrder) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if old, ok := v.orders[o.Service]; ok && old.Offset >= o.Offset {
@@ -139,7 +138,6 @@
 	}
 	v.orders[o.Service] = o
 	v.orderedAt[o.Service] = v.clock.Now()
-	v.orderedBefore[o.Service] = atStart
 	v.adjustOrderedAt(o.Service)
 	log.WithFields(log.Fields{
 		"service": o.Service, "version": o.Target, "within": o.Within, "order": o.Offset,
@@ -175,6 +173,16 @@
 	log.WithFields(fields).Info("move changed")
 }
 
+// markBegunBefore records that the moves read so far had begun before this node started, so that earlier processes of the
+// node may have sent requests to their new versions.
+func (v *MeshView) markBegunBefore() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for service, m := range v.moves {
+		v.begunBefore[service] = m.Order
+	}
+}
+
 // adjustOrderedAt corrects the time of a service's order by the record of its move. A node that has read the order late,
 // for example after a restart, learns its age so. The caller must hold the lock.
 func (v *MeshView) adjustOrderedAt(service string) {
@@ -229,7 +237,15 @@
 // reached come last, so that the entry of a node that does not exist cannot take a service out of use. No lock of the
 // view may be held.
 func (v *MeshView) baselineVersion(service string) string {
-	return v.index().baselines[service].version
+	ix := v.index()
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.baselineOf(ix, service)
+}
+
+// baselineOf returns the version of an index that serves when there is no move. The caller must hold the lock.
+func (v *MeshView) baselineOf(ix *meshIndex, service string) string {
+	return ix.baseline(service, v.orders[service].Target, v.clock.Now())
 }
 
 // compareStarts compares two start times. An unknown one, 0, comes last.
