Refuse reads that end before what was already read

The old version was gone; every request of the service got 503 for good.

Cause: the feed of the paused node returned its whole older copy of the mesh topic to a reader that was ahead of it, and the reader applied it. Its position in the topic is kept apart and did not go back, so that the condition of the append held beside a decision on the older record. The paused node itself was ruled out: it reads the store before it stores.

Change: all reads pass through follower.applyRead, which refuses one that ends before the reader's position, also after the history is gone. A feed that is behind its reader waits and then fails. A move carries the offset of its record, since mover and follower read independently. A whole read removes the nodes that are missing from it.

--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -37,6 +37,8 @@
 var (
 	// errFeedStoreLost means that the node's copy of the topic is not current, or not read yet.
 	errFeedStoreLost = errors.New("node has lost the store")
+	// errFeedBehind means that the reader has read more of the topic than this node.
+	errFeedBehind = errors.New("node knows less than the reader")
 	// errFeedTooManyHops means that the records have passed maxFeedHops nodes on their way from the store to this node.
 	errFeedTooManyHops = errors.New("node is too far from the store")
 )
@@ -100,7 +102,7 @@
 }
 
 // Follow returns the records of a topic from args.From on. If there are none, it waits for some up to args.Wait, and
-// may return none.
+// may return none. It fails if this node has not read the topic up to args.From by then.
 func (f *Feed) Follow(args FeedArgs, reply *FeedReply) error {
 	deadline := f.clock.After(min(args.Wait, maxFeedWait))
 	for {
@@ -135,6 +137,9 @@
 		select {
 		case <-changed:
 		case <-deadline:
+			if args.From > reply.Next {
+				return errFeedBehind
+			}
 			return nil
 		}
 	}
@@ -168,10 +173,10 @@
 // fillReply fills in a reply and reports whether there was anything to return.
 func (t *feedTopic) fillReply(from int64, reply *FeedReply) (bool, error) {
 	reply.Next, reply.Hops = t.nextOffset, t.hops+1
-	reply.Whole = from < t.firstOffset || from > t.nextOffset
-	if !reply.Whole && from == t.nextOffset {
+	if from >= t.nextOffset {
 		return false, nil
 	}
+	reply.Whole = from < t.firstOffset
 	if packed, ok := t.packedReplies[from]; ok {
 		reply.Packed = packed
 		return true, nil
--- a/meshd/follow.go
+++ b/meshd/follow.go
@@ -56,6 +56,8 @@
 	errNoRelay = errors.New("no node to read from, and the store was read shortly before")
 	// errRelayBehind means that the relay has older data than other nodes.
 	errRelayBehind = errors.New("node knows less than others")
+	// errReadBehind means that a read ends before the position that was already read.
+	errReadBehind = errors.New("read is behind the position of the reader")
 )
 
 // follower applies the newest records of a topic, and then each change, until its context ends. It reads from one of
@@ -72,7 +74,8 @@
 	gatherPeers bool
 	onGathered  func()
 
-	nextOffset     int64 // offset of the next read, -1 if the whole topic must be read
+	nextOffset     int64 // offset of the next read, -1 before the first one; it never goes back
+	truncated      bool  // the history from nextOffset on is gone, so that the whole topic must be read
 	failed         bool
 	startRetries   int       // retries of the first relay before the first successful read
 	behindSince    time.Time // since when other nodes have had newer data than the relay, zero if they have none
@@ -107,7 +110,7 @@
 }
 
 func (f *follower) readOnce(ctx context.Context) error {
-	if f.nextOffset < 0 && f.peersKnown != nil {
+	if f.needsWholeRead() && f.peersKnown != nil {
 		f.awaitPeers(ctx)
 	}
 	relays := f.sync.relays()
@@ -116,7 +119,7 @@
 		if err == nil {
 			return nil
 		}
-		if f.nextOffset < 0 && errors.Is(err, syscall.ECONNREFUSED) && f.startRetries < maxStartRetries {
+		if f.needsWholeRead() && errors.Is(err, syscall.ECONNREFUSED) && f.startRetries < maxStartRetries {
 			// The instance is up, so the node may still be starting.
 			f.startRetries++
 			select {
@@ -132,7 +135,7 @@
 			Info("cannot read feed; backing off")
 	}
 	now := f.sync.Clock.Now()
-	if len(relays) > 0 && f.nextOffset >= 0 {
+	if len(relays) > 0 && !f.needsWholeRead() {
 		if now.Before(f.nextDirectRead) {
 			return errNoRelay
 		}
@@ -141,6 +144,8 @@
 	return f.readFromStore(ctx, len(relays) > 0)
 }
 
+func (f *follower) needsWholeRead() bool { return f.nextOffset < 0 || f.truncated }
+
 // awaitPeers waits for up to peerWait until the entries of other nodes were read, because large records are read faster
 // from those nodes than from the store.
 func (f *follower) awaitPeers(ctx context.Context) {
@@ -172,14 +177,20 @@
 
 // readFromRelay reads from another node.
 func (f *follower) readFromRelay(ctx context.Context, feedAddr string) error {
-	records, reply, err := f.sync.readFeed(ctx, feedAddr, f.topic, f.nextOffset)
+	from := f.nextOffset
+	if f.needsWholeRead() {
+		from = -1
+	}
+	records, reply, err := f.sync.readFeed(ctx, feedAddr, f.topic, from)
 	if err != nil {
 		return err
 	}
-	if reply.Next < 0 || reply.Next > maxOffset || !reply.Whole && reply.Next < f.nextOffset || reply.Hops < 1 {
+	if reply.Next < 0 || reply.Next > maxOffset || from < 0 && !reply.Whole || reply.Hops < 1 {
 		return fmt.Errorf("feed continues at offset %d after %d hops", reply.Next, reply.Hops)
 	}
-	f.applyRead(records, reply.Next, reply.Whole, reply.Hops)
+	if err := f.applyRead(records, reply.Next, reply.Whole, reply.Hops); err != nil {
+		return err
+	}
 	now := f.sync.Clock.Now()
 	switch {
 	case len(records) > 0 || !f.isBehind():
@@ -197,13 +208,12 @@
 // records. It waits for these for storeWait, or watcherStoreWait if the node has relays or monitors the store, and not
 // at all after a failure.
 func (f *follower) readFromStore(ctx context.Context, hasRelays bool) error {
-	if f.nextOffset < 0 {
+	if f.needsWholeRead() {
 		records, next, err := f.sync.Store.Newest(ctx, f.topic)
 		if err != nil {
 			return err
 		}
-		f.applyRead(records, next, true, 0)
-		return nil
+		return f.applyRead(records, next, true, 0)
 	}
 	wait := storeWait
 	switch {
@@ -219,7 +229,7 @@
 	var truncated *shunt.TruncatedError
 	switch {
 	case errors.As(err, &truncated):
-		f.nextOffset = -1
+		f.truncated = true
 		return nil
 	case err != nil && readCtx.Err() != nil && ctx.Err() == nil && f.isBehind():
 		// A read without a wait shows at once whether the store is available.
@@ -228,21 +238,26 @@
 	if err != nil {
 		return err
 	}
-	f.applyRead(records, next, false, 0)
-	return nil
+	return f.applyRead(records, next, false, 0)
 }
 
-// applyRead applies records that were read through the given number of other nodes, and adds them to the feed.
-func (f *follower) applyRead(records []shunt.KeyedRecord, next int64, whole bool, hops int) {
+// applyRead applies records that were read through the given number of other nodes, and adds them to the feed. All reads
+// pass through it. It fails without a change if the read ends before the position that was already read: a relay that
+// was paused or cut off has an older state of the topic.
+func (f *follower) applyRead(records []shunt.KeyedRecord, next int64, whole bool, hops int) error {
+	if next < f.nextOffset {
+		return fmt.Errorf("%w: ends at offset %d, already read up to %d", errReadBehind, next, f.nextOffset)
+	}
 	if len(records) > 0 || whole {
 		f.apply(records, whole)
 	}
-	first := f.nextOffset < 0
-	f.nextOffset = next
+	first := f.needsWholeRead()
+	f.nextOffset, f.truncated = next, false
 	f.sync.feed.add(f.topic, records, next, whole, hops)
 	if first {
 		f.onWholeRead()
 	}
+	return nil
 }
 
 // cancelWhenBehind cancels a read once other nodes have had newer data for behindTimeout.
--- a/meshd/mover.go
+++ b/meshd/mover.go
@@ -215,9 +215,9 @@
 				return false
 			}
 		}
-		_, err = m.Store.Append(ctx, topicMesh, end, shunt.KeyedRecord{Key: moveKeyPrefix + service, Value: data})
+		newEnd, err := m.Store.Append(ctx, topicMesh, end, shunt.KeyedRecord{Key: moveKeyPrefix + service, Value: data})
 		if err == nil {
-			m.View.setMove(service, r)
+			m.View.setMove(service, r, newEnd-1)
 			return true
 		}
 		if !errors.Is(err, shunt.ErrStoreConflict) {
@@ -242,7 +242,7 @@
 		if k.Key != moveKeyPrefix+service || json.Unmarshal(k.Value, &stored) != nil {
 			continue
 		}
-		m.View.setMove(service, stored)
+		m.View.setMove(service, stored, k.Offset)
 		if !r.CanReplace(stored) {
 			return 0, false
 		}
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -130,9 +130,12 @@
 	}
 }
 
-func (s *StateSync) applyMesh(records []shunt.KeyedRecord, _ bool) {
+func (s *StateSync) applyMesh(records []shunt.KeyedRecord, whole bool) {
 	var skipped skippedRecords
 	last := int64(-1)
+	if whole {
+		s.removeMissing(records)
+	}
 	for _, k := range records {
 		last = max(last, k.Offset)
 		if err := s.applyRecord(k); err != nil {
@@ -165,12 +168,27 @@
 		if err != nil {
 			return err
 		}
-		s.View.setMove(service, r)
+		s.View.setMove(service, r, k.Offset)
 		return nil
 	}
 	return nil
 }
 
+// removeMissing removes the nodes without an entry in a whole read of the mesh topic: their entries were removed.
+func (s *StateSync) removeMissing(records []shunt.KeyedRecord) {
+	present := make(map[string]bool, len(records))
+	for _, k := range records {
+		if nodeAddr, ok := strings.CutPrefix(k.Key, nodeKeyPrefix); ok {
+			present[nodeAddr] = true
+		}
+	}
+	for _, nodeAddr := range s.View.allNodes() {
+		if !present[nodeAddr] {
+			s.applyRemoval(nodeKeyPrefix + nodeAddr)
+		}
+	}
+}
+
 // applyRemoval handles the removal of a record. A node whose entry was removed by mistake publishes it again.
 func (s *StateSync) applyRemoval(key string) {
 	name, ok := strings.CutPrefix(key, nodeKeyPrefix)
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -54,6 +55,7 @@
 
 	moveState struct {
 		shift.Record
+		offset     int64     // of the record in the mesh topic
 		phaseSince time.Time // when this node learned of the phase
 		// learnedComplete is set if the move was complete when this node learned of it.
 		learnedComplete bool
@@ -144,16 +146,21 @@
 	}).Info("move ordered")
 }
 
-// setMove records the state of a service's move.
-func (v *MeshView) setMove(service string, r shift.Record) {
+// setMove records the state of a service's move, as stored at an offset of the mesh topic. The follower and the mover read
+// the topic independently of each other, so that a state may come after a later one; it is ignored then.
+func (v *MeshView) setMove(service string, r shift.Record, offset int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.moves[service]
-	if old != nil && (old.Order > r.Order || old.Order == r.Order && old.Phase == r.Phase) {
+	if old != nil && (old.Order > r.Order || old.offset >= offset) {
+		return
+	}
+	if old != nil && old.Order == r.Order && old.Phase == r.Phase {
+		old.offset = offset
 		return
 	}
 	now := v.clock.Now()
-	m := &moveState{Record: r, phaseSince: now}
+	m := &moveState{Record: r, offset: offset, phaseSince: now}
 	if old == nil || old.Order != r.Order {
 		m.learnedComplete = r.Phase == shift.Complete
 	} else {
@@ -228,6 +235,13 @@
 	return p.currentEntry(), true
 }
 
+// allNodes returns the addresses of all nodes with an entry, in no order.
+func (v *MeshView) allNodes() []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return slices.Collect(maps.Keys(v.peers))
+}
+
 // nodeAddresses returns the addresses of all nodes that are reachable and not stopping, in no order. The slice must not be
 // modified.
 func (v *MeshView) nodeAddresses() []string { return v.index().live }
