Order the entries of a node by when they were written

Cause: the store may do a write that got no answer seconds later. Entries were ordered by their place in the topic, so that the "stopping" of an earlier process replaced the entry of the present one, and nobody wrote again. A node that fails to write its new entry was ruled out: the store had acknowledged it before.

Change: an entry carries the start of its process and a count of its writes, and never replaces a newer one of its node, whichever way it arrives. A node that reads an older entry of its own behind its last answered write publishes again. If the clock was set back, it counts its start as later than that of the stored entry. The removal of a stale entry depends on the topic as it was at the decision.

--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -270,6 +270,14 @@
 	}
 }
 
+// end returns the offset up to which the node has read a topic, and false if the last read failed.
+func (f *Feed) end(topic string) (int64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.topic(topic)
+	return t.nextOffset, t.current
+}
+
 // markUnavailable records that the last read of the topic failed: no relay could serve it, and the store failed or was
 // not due to be read.
 func (f *Feed) markUnavailable(topic string) {
--- a/meshd/peer.go
+++ b/meshd/peer.go
@@ -84,9 +84,13 @@
 	}
 }
 
+// update replaces the node's entry, unless the new one was written before it.
 func (p *peerNode) update(e nodeEntry, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if e.isOlder(p.entry) {
+		return
+	}
 	if e.Started != p.entry.Started || e.Born != p.entry.Born || e.Server != p.entry.Server {
 		p.unreachable, p.pausedUntil, p.failureRate = false, time.Time{}, 0
 		p.load, p.loadAt = loadReport{}, time.Time{}
--- a/meshd/publish_test.go
+++ b/meshd/publish_test.go
@@ -50,3 +50,96 @@
 		t.Fatal("entry does not count as stored after the store is back")
 	}
 }
+
+// TestLateEntry guards against a service that refuses everything because an older entry of its node replaced the newest one:
+// a write that got no answer was done seconds later, after those of the next process. Nodes that know the newest entry
+// keep it, and its node publishes it again, so that nodes that start later get it as well. The clock of the instance may
+// have been set back between the two processes.
+func TestLateEntry(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		start int64 // of the second process
+	}{{"later start", 9}, {"clock set back", 3}} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newFakeStore()
+			storeOrders(t, store, configRecord(1))
+			stopping := nodeEntry{
+				Calls:    "10.0.0.1:1",
+				Domain:   "a",
+				Service:  testService,
+				Server:   "s-1",
+				Version:  "v1",
+				Born:     1,
+				Sequence: 4,
+				Since:    1,
+				Slots:    4,
+				Started:  5,
+				Written:  2,
+			}
+			storeMeshRecord(t, store, nodeKeyPrefix+stopping.Calls, stopping)
+			stopping.Stopping, stopping.Written = true, 3
+
+			s, other := testSync(t, store, stopping.Calls), testSync(t, store, "10.0.0.2:1")
+			s.StartedAt = test.start
+			runSync(t, s)
+			runSync(t, other)
+			waitFor(t, time.Second, "start", func() bool { return s.Ready() && other.Ready() })
+			if err := s.Server.HandleReport(report("s-1", 1, 5)); err != nil {
+				t.Fatal(err)
+			}
+			serves := func(s *StateSync) bool {
+				e, ok := s.View.lookupEntry(stopping.Calls)
+				return ok && e.Sequence == 5 && !e.Stopping
+			}
+			waitFor(t, time.Second, "entry of the second process", func() bool { return serves(other) })
+			entries := func() int {
+				store.mu.Lock()
+				defer store.mu.Unlock()
+				return len(store.topics[topicMesh])
+			}
+			before := entries()
+			storeMeshRecord(t, store, nodeKeyPrefix+stopping.Calls, stopping)
+			waitFor(t, time.Second, "entry published again", func() bool { return entries() > before+1 })
+			if !serves(s) || !serves(other) {
+				t.Error("a node takes the older entry for the newest one")
+			}
+			time.Sleep(4 * readInterval)
+			if got := entries(); got != before+2 {
+				t.Errorf("%d entries after the late one, want 1", got-before-1)
+			}
+			third := testSync(t, store, "10.0.0.3:1")
+			runSync(t, third)
+			waitFor(t, time.Second, "start of another node", third.Ready)
+			if !serves(third) {
+				t.Error("a node that starts later gets the older entry")
+			}
+		})
+	}
+}
+
+// TestLateRemoval guards against the removal of a node's entry that is done after the node is back: it depends on the topic
+// as it was at the decision.
+func TestLateRemoval(t *testing.T) {
+	store := newFakeStore()
+	storeOrders(t, store, configRecord(1))
+	s := testSync(t, store, "10.0.0.1:1")
+	runSync(t, s)
+	waitFor(t, time.Second, "start", s.Ready)
+	e := nodeEntry{Calls: "10.0.0.2:1", Domain: "a", Service: testService, Server: "s-2", Stopping: true}
+	storeMeshRecord(t, store, nodeKeyPrefix+e.Calls, e)
+	waitFor(t, time.Second, "entry read", func() bool {
+		_, ok := s.View.lookupEntry(e.Calls)
+		return ok
+	})
+	s.View.peers[e.Calls].entryAt = time.Now().Add(-2 * staleAfter)
+	s.Preconnect = func(context.Context, string) error {
+		e.Stopping, e.Started = false, 9 // the node is back, and its entry is stored before the removal
+		storeMeshRecord(t, store, nodeKeyPrefix+e.Calls, e)
+		return errResponseLost
+	}
+	s.removeStaleEntries(t.Context())
+	records, _, err := store.Newest(t.Context(), topicMesh)
+	if err != nil || len(records) != 1 {
+		t.Errorf("%d entries in the store, error %v, want that of the node that is back", len(records), err)
+	}
+}
--- a/meshd/record.go
+++ b/meshd/record.go
@@ -56,6 +56,17 @@
 	ColdMS    int64  `json:"coldMs,omitempty"`
 	Started   int64  `json:"started"` // start of the node, nanoseconds since the epoch
 	Stopping  bool   `json:"stopping,omitempty"`
+	Written   int64  `json:"written,omitempty"` // number of the entry among those of its process, from 1 on
+}
+
+// isOlder reports whether the entry was written before another one of the same node. The store may do a write that got no
+// answer seconds later, after those that followed it. Entries without a number, of earlier versions of the program, are
+// not ordered within their process.
+func (e nodeEntry) isOlder(other nodeEntry) bool {
+	if e.Started != other.Started {
+		return e.Started < other.Started
+	}
+	return e.Written < other.Written
 }
 
 // decodeEntry decodes and validates the entry of the node with the given address.
@@ -99,6 +110,7 @@
 		{"start of the server", e.Born, latest.UnixMilli()},
 		{"start of the version", e.Since, latest.UnixMilli()},
 		{"start of the node", e.Started, latest.UnixNano()},
+		{"number", e.Written, maxOffset},
 	} {
 		if f.value < 0 || f.value > f.max {
 			return e, fmt.Errorf("%s %d is out of range", f.name, f.value)
--- a/meshd/staleentries.go
+++ b/meshd/staleentries.go
@@ -34,12 +34,24 @@
 	}
 }
 
+// removeStaleEntries removes the entries of removed instances. Each removal depends on the topic not having grown since the
+// decision: one that the store does late must not remove the entry of a node that is back.
 func (s *StateSync) removeStaleEntries(ctx context.Context) {
+	end, ok := s.feed.end(topicMesh)
+	if !ok {
+		return
+	}
 	for _, nodeAddr := range s.View.staleNodes(s.Domain, s.Clock.Now().Add(-staleAfter)) {
 		if nodeAddr == s.Self || s.Preconnect(ctx, nodeAddr) == nil {
 			continue
 		}
-		if _, err := s.Store.Append(ctx, topicMesh, -1, shunt.KeyedRecord{Key: nodeKeyPrefix + nodeAddr}); err != nil {
+		var err error
+		if end, err = s.Store.Append(
+			ctx,
+			topicMesh,
+			end,
+			shunt.KeyedRecord{Key: nodeKeyPrefix + nodeAddr},
+		); err != nil {
 			log.WithError(err).WithField("node", nodeAddr).Warn("cannot remove stale node entry")
 			return
 		}
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -48,7 +48,7 @@
 	Link      int        // megabits per second
 	Domain    string
 	Meter     *Meter
-	StartedAt int64
+	StartedAt int64 // start of this process, nanoseconds since the epoch
 	// FirstStart is set if the mesh starts for the first time. The nodes then read each other's entries before they read
 	// the operator's topic, so that only one per failure domain reads that topic from the store.
 	FirstStart bool
@@ -63,6 +63,9 @@
 	mu              sync.Mutex
 	feedBackoffs    map[string]feedBackoff // by address of the failed feed
 	stopping        bool
+	started         int64 // Started of this process' entries, 0 for StartedAt
+	written         int64 // Written of the latest entry
+	storedEnd       int64 // end of the mesh topic after the latest answered write of the entry
 	publishRequests chan struct{}
 	entryStored     chan struct{}   // closed once the current entry is stored
 	unstored        []chan struct{} // those of earlier entries that could not be stored, closed together with it
@@ -152,7 +155,7 @@
 
 func (s *StateSync) applyRecord(k shunt.KeyedRecord) error {
 	if len(k.Value) == 0 {
-		s.applyRemoval(k.Key)
+		s.applyRemoval(k.Key, k.Offset)
 		return nil
 	}
 	if name, ok := strings.CutPrefix(k.Key, nodeKeyPrefix); ok {
@@ -161,6 +164,9 @@
 			return err
 		}
 		s.View.setEntry(e)
+		if e.Calls == s.Self {
+			s.checkOwnEntry(e, k.Offset)
+		}
 		return nil
 	}
 	if service, ok := strings.CutPrefix(k.Key, moveKeyPrefix); ok {
@@ -184,23 +190,52 @@
 	}
 	for _, nodeAddr := range s.View.allNodes() {
 		if !present[nodeAddr] {
-			s.applyRemoval(nodeKeyPrefix + nodeAddr)
+			s.applyRemoval(nodeKeyPrefix+nodeAddr, maxOffset)
 		}
 	}
 }
 
-// applyRemoval handles the removal of a record. A node whose entry was removed by mistake publishes it again.
-func (s *StateSync) applyRemoval(key string) {
+// applyRemoval handles the removal of a record at an offset. A node whose entry was removed by mistake publishes it again.
+func (s *StateSync) applyRemoval(key string, offset int64) {
 	name, ok := strings.CutPrefix(key, nodeKeyPrefix)
 	switch {
 	case !ok:
 	case name == s.Self:
-		s.Publish(false)
+		s.mu.Lock()
+		removed := offset >= s.storedEnd
+		s.mu.Unlock()
+		if removed {
+			s.Publish(false)
+		}
 	default:
 		s.View.removeEntry(name)
 	}
 }
 
+// checkOwnEntry publishes the node's entry again if an older one replaced it in the store: a late write of this process or
+// of an earlier one. If the clock was set back since the start of the earlier process, the node's entries are ordered
+// after those of that process.
+func (s *StateSync) checkOwnEntry(stored nodeEntry, offset int64) {
+	s.mu.Lock()
+	if stored.Started > s.startedAt() || stored.Started == s.startedAt() && stored.Written > s.written {
+		s.started = stored.Started + 1
+	}
+	replaced := s.written > 0 && offset >= s.storedEnd &&
+		(stored.Started != s.startedAt() || stored.Written != s.written)
+	s.mu.Unlock()
+	if !replaced {
+		return
+	}
+	log.WithFields(log.Fields{
+		"offset": offset, "stored_started": stored.Started, "stored_written": stored.Written, "server": stored.Server,
+		"stopping": stored.Stopping, "leaving": stored.Leaving,
+	}).Warn("older node entry in the store; publishing the entry again")
+	s.Publish(false)
+}
+
+// startedAt returns the start of this process as published. The caller must hold the lock.
+func (s *StateSync) startedAt() int64 { return max(s.started, s.StartedAt) }
+
 // Publish schedules the node's entry to be stored. With urgent it returns once the entry is stored, or after
 // urgentPublishTimeout.
 func (s *StateSync) Publish(urgent bool) {
@@ -238,7 +273,7 @@
 func (s *StateSync) ownEntry() nodeEntry {
 	r, _ := s.Server.Current()
 	s.mu.Lock()
-	stopping := s.stopping
+	stopping, started, written := s.stopping, s.startedAt(), s.written
 	s.mu.Unlock()
 	since := r.Born
 	if prev, ok := s.View.lookupEntry(s.Self); ok && prev.Service == r.Service &&
@@ -260,8 +295,9 @@
 		Slots:     r.Slots,
 		Leaving:   r.Leaving,
 		ColdMS:    s.Server.ColdRemaining().Milliseconds(),
-		Started:   s.StartedAt,
+		Started:   started,
 		Stopping:  stopping,
+		Written:   written,
 	}
 }
 
@@ -293,6 +329,7 @@
 			s.entryStored = nil
 		}
 		waiting := s.unstored
+		s.written++
 		s.mu.Unlock()
 		e := s.ownEntry()
 		s.View.setEntry(e)
@@ -335,8 +372,14 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.Store.Append(ctx, topicMesh, -1, shunt.KeyedRecord{Key: nodeKeyPrefix + s.Self, Value: data})
-	return err
+	end, err := s.Store.Append(ctx, topicMesh, -1, shunt.KeyedRecord{Key: nodeKeyPrefix + s.Self, Value: data})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storedEnd = end
+	return nil
 }
 
 // StoredServer returns the server from the last entry of this node that was read or set. After a restart of the node
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -211,7 +211,8 @@
 	v.tallies[service][node] = t
 }
 
-// setEntry records the entry of a node. The latest entry of an address replaces earlier ones.
+// setEntry records the entry of a node. The latest entry of an address, in the order in which they were written, replaces
+// earlier ones.
 func (v *MeshView) setEntry(e nodeEntry) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
