Recall what a node knew of its server after a restart

Cause: the last report and the departures lived in memory only, and the stored entry was dropped if it said that the server leaves. A heartbeat from after the deregistration was ruled out: its sequence is lower.

Change: before the first whole read of the mesh topic counts as done, the node recalls its server from its own entry, which now also tells a deregistration from draining, and orders reports by it. No entry is stored before that read. Deregistrations that come before it, or before the server is confirmed, are stored too. A node that stops before it has met its server again no longer stores an entry without server and version.

Tests of meshd and platform pass.

--- a/meshd/record.go
+++ b/meshd/record.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/shift"
 )
 
@@ -53,6 +54,7 @@
 	Since     int64  `json:"since"` // start of the first server of this version here, milliseconds since the epoch
 	Slots     int    `json:"slots"`
 	Leaving   bool   `json:"leaving,omitempty"`
+	Departed  bool   `json:"departed,omitempty"` // the server has deregistered, so that any report of it is a delayed one
 	ColdMS    int64  `json:"coldMs,omitempty"`
 	Started   int64  `json:"started"` // start of the node, nanoseconds since the epoch
 	Stopping  bool   `json:"stopping,omitempty"`
@@ -69,6 +71,14 @@
 	return e.Written < other.Written
 }
 
+// serverReport returns the state of the entry's server, without its address.
+func (e nodeEntry) serverReport() shunt.ServerReport {
+	return shunt.ServerReport{
+		ID: e.Server, Born: e.Born, Sequence: e.Sequence, Service: e.Service, Domain: e.Domain, Version: e.Version,
+		Slots: e.Slots, Leaving: e.Leaving,
+	}
+}
+
 // decodeEntry decodes and validates the entry of the node with the given address.
 func decodeEntry(nodeAddr string, data []byte, now time.Time) (nodeEntry, error) {
 	var e nodeEntry
--- a/meshd/server.go
+++ b/meshd/server.go
@@ -52,7 +52,9 @@
 		service          string
 		address          string
 		cold             ColdBounds
-		report           shunt.ServerReport
+		report           shunt.ServerReport // the latest one
+		unconfirmed      bool               // the report is that of an earlier process, see Recall
+		replaced         bool               // another server has responded at the address since the report
 		coldUntil        time.Time
 		unverifiedUntil  time.Time // until when the server may be another than reported
 		connectionLostAt time.Time // time of the last connection failure
@@ -87,15 +89,31 @@
 // ApplyConfig is called when a new configuration is in force, which may change the cold rate of the server.
 func (s *Server) ApplyConfig() { s.updateQueue() }
 
-// Current returns the last report, and whether requests may be sent.
+// Current returns the last report, and whether requests may be sent. The report has no identifier while the server is not
+// known to be there.
 func (s *Server) Current() (shunt.ServerReport, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.report, s.isUsable(s.clock.Now())
+	r := s.report
+	if s.unconfirmed || s.replaced {
+		r.ID = ""
+	}
+	return r, s.isUsable(s.clock.Now())
 }
 
 func (s *Server) isUsable(now time.Time) bool {
-	return s.report.ID != "" && (!s.report.Leaving || now.Sub(s.leavingSince) < leavingGrace)
+	return s.report.ID != "" && !s.unconfirmed && !s.replaced &&
+		(!s.report.Leaving || now.Sub(s.leavingSince) < leavingGrace)
+}
+
+// Published returns the state of the server that is published, and whether it has deregistered. An earlier process of the
+// node may have stored it: what is known of a server that is not there orders its delayed reports.
+func (s *Server) Published() (r shunt.ServerReport, departed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r = s.report
+	r.Leaving = r.Leaving || s.replaced
+	return r, r.ID != "" && s.hasDeparted(r)
 }
 
 // Address returns the address of the server.
@@ -133,18 +151,24 @@
 }
 
 // isNewer reports whether a report is later than the current state. Delayed reports may arrive after their server was
-// replaced or deregistered. Reports of the same server are ordered by sequence, and those of different servers by start
-// time. If the start times are equal, another identifier is accepted, but not if both are unknown (0) and a server is
-// already present.
-func (s *Server) isNewer(r shunt.ServerReport) bool {
-	if born, ok := s.departed[r.ID]; ok && r.Born <= born {
-		return false
-	}
+// replaced or deregistered.
+func (s *Server) isNewer(r shunt.ServerReport) bool { return !s.hasDeparted(r) && s.isLater(r) }
+
+// hasDeparted reports whether the server of a report has deregistered.
+func (s *Server) hasDeparted(r shunt.ServerReport) bool {
+	born, ok := s.departed[r.ID]
+	return ok && r.Born <= born
+}
+
+// isLater reports whether a report was made after the last one. Reports of the same server are ordered by sequence, and
+// those of different servers by start time. If the start times are equal, another identifier is accepted, but not if both
+// are unknown (0) and a server is already present.
+func (s *Server) isLater(r shunt.ServerReport) bool {
 	if r.Born != s.report.Born {
 		return r.Born > s.report.Born
 	}
 	if r.ID != s.report.ID {
-		return s.report.ID == "" || r.Born > 0
+		return s.report.ID == "" || s.unconfirmed || s.replaced || r.Born > 0
 	}
 	return r.Sequence > s.report.Sequence
 }
@@ -154,14 +178,14 @@
 func (s *Server) acceptReport(r shunt.ServerReport) (changed, urgent bool) {
 	now := s.clock.Now()
 	old := s.report
-	restarted := r.ID != old.ID || r.Born != old.Born
+	restarted := r.ID != old.ID || r.Born != old.Born || s.unconfirmed || s.replaced
 	if r.Leaving && (restarted || !old.Leaving) {
 		s.leavingSince = now
 	}
 	wasCold := s.coldUntil.After(now)
 	s.coldUntil = now.Add(r.Cold)
 	s.unverifiedUntil = time.Time{}
-	s.report = r
+	s.report, s.unconfirmed, s.replaced = r, false, false
 	changed = restarted || r.Leaving != old.Leaving || r.Version != old.Version || r.Slots != old.Slots ||
 		r.Cold > 0 && !wasCold
 	if changed {
@@ -170,7 +194,7 @@
 			"sequence": r.Sequence, "born": r.Born,
 		}).Info("backend server state changed")
 	}
-	return changed, r.Leaving && !old.Leaving
+	return changed, r.Leaving && (restarted || !old.Leaving)
 }
 
 // HandleDeregistration handles the deregistration of a server. The server still gets requests until it has been
@@ -199,11 +223,43 @@
 	}
 }
 
+// Recall takes over what the node knew of its server before it restarted, from its stored entry: delayed reports that the
+// earlier process would have ignored are ignored as well, above all those of a server that has deregistered. The server
+// gets no requests before it reports or Restore is called. A report that was accepted in the meantime stays if it is later.
+func (s *Server) Recall(r shunt.ServerReport, departed bool) {
+	s.mu.Lock()
+	if r.ID == "" || r.Service != s.service {
+		s.mu.Unlock()
+		return
+	}
+	if departed {
+		s.departed[r.ID] = max(s.departed[r.ID], r.Born)
+	}
+	deregistered := !r.Leaving && s.hasDeparted(r)
+	r.Address, r.Leaving = s.address, r.Leaving || deregistered
+	accepted, unconfirmed, replaced := s.report, s.unconfirmed, s.replaced
+	s.report, s.unconfirmed, s.replaced = r, true, false
+	sameServer := accepted.ID == r.ID && accepted.Born == r.Born
+	recalled := accepted.ID == "" || !s.isLater(accepted) || sameServer && s.hasDeparted(r)
+	if !recalled {
+		s.report, s.unconfirmed, s.replaced = accepted, unconfirmed, replaced
+	}
+	s.mu.Unlock()
+	log.WithFields(log.Fields{
+		"server": r.ID, "version": r.Version, "leaving": r.Leaving, "departed": departed, "sequence": r.Sequence,
+		"born": r.Born, "recalled": recalled,
+	}).Info("backend server recalled from stored entry")
+	s.updateQueue()
+	if recalled && deregistered {
+		s.notify(false)
+	}
+}
+
 // Restore takes over the server that was known before the node restarted, once the server itself has confirmed that it
 // is the same and healthy.
 func (s *Server) Restore(r shunt.ServerReport) {
 	s.mu.Lock()
-	if s.report.ID != "" || r.Leaving || !s.isNewer(r) {
+	if !s.mayRestore(r) {
 		s.mu.Unlock()
 		return
 	}
@@ -213,6 +269,16 @@
 	s.notify(false)
 }
 
+func (s *Server) mayRestore(r shunt.ServerReport) bool {
+	switch {
+	case r.Leaving || s.hasDeparted(r):
+		return false
+	case s.report.ID == "":
+		return true
+	}
+	return s.unconfirmed && !s.report.Leaving && r.ID == s.report.ID && r.Born == s.report.Born
+}
+
 // MarkUnverified is called when the server broke a connection, which may mean that it has restarted. Its
 // request rate is limited like that of a cold server for unverifiedTimeout, or until it confirms its identity, reports,
 // or responds to a request sent before the failure.
@@ -251,7 +317,7 @@
 // it remains cold.
 func (s *Server) ConfirmIdentity(id string, cold time.Duration) {
 	s.mu.Lock()
-	if id == "" || id != s.report.ID {
+	if id == "" || id != s.report.ID || s.unconfirmed || s.replaced {
 		s.mu.Unlock()
 		return
 	}
@@ -275,7 +341,7 @@
 func (s *Server) MarkReplaced(id string) {
 	s.mu.Lock()
 	if s.report.ID == id {
-		s.report.ID = ""
+		s.replaced = true
 	}
 	s.mu.Unlock()
 	s.updateQueue()
--- a/meshd/server_test.go
+++ b/meshd/server_test.go
@@ -1,6 +1,7 @@
 package meshd
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -300,3 +301,163 @@
 		t.Error("a server that has started again under the same identifier is not accepted")
 	}
 }
+
+// TestDepartedServerAfterRestart guards against requests to a server that has left, because its node has restarted and takes
+// a delayed heartbeat for that of a new server. The stored entry says what the earlier process knew; the heartbeat may
+// arrive before it is read or after, and the deregistration as well.
+func TestDepartedServerAfterRestart(t *testing.T) {
+	const (
+		atStart = iota // before the entry is read
+		later
+	)
+	type event struct {
+		at         int
+		report     shunt.ServerReport
+		deregister bool
+	}
+	for _, test := range []struct {
+		name     string
+		stored   shunt.ServerReport
+		departed bool
+		events   []event
+		usable   bool
+		leaving  bool // the published entry says that the server is leaving
+	}{
+		{"delayed heartbeat", leaving(report("a", 5, 9)), true, []event{{at: later, report: report("a", 5, 8)}}, false, true},
+		{
+			"delayed heartbeat beyond the last one known", leaving(report("a", 5, 9)), true,
+			[]event{{at: later, report: report("a", 5, 12)}},
+			false, true,
+		},
+		{
+			"delayed heartbeat before the entry is read", leaving(report("a", 5, 9)), true,
+			[]event{{at: atStart, report: report("a", 5, 8)}},
+			false, true,
+		},
+		{
+			"later heartbeat of a departed server before the entry is read", leaving(report("a", 5, 9)), true,
+			[]event{{at: atStart, report: report("a", 5, 12)}},
+			false, true,
+		},
+		{"heartbeat from before draining", leaving(report("a", 5, 9)), false, []event{
+			{at: later, report: report("a", 5, 8)},
+		}, false, true},
+		{"still draining", leaving(report("a", 5, 9)), false, []event{
+			{at: later, report: leaving(report("a", 5, 10))},
+		}, false, true},
+		{"deregistration before the entry is read", report("a", 5, 9), false, []event{
+			{at: atStart, deregister: true}, {at: later, report: report("a", 5, 10)},
+		}, false, true},
+		{"deregistration of a server that is not confirmed", report("a", 5, 9), false, []event{
+			{at: later, deregister: true}, {at: later, report: report("a", 5, 10)},
+		}, false, true},
+		{"heartbeat of an earlier server", report("b", 6, 1), false, []event{
+			{at: later, report: report("a", 5, 9)}, {at: later, report: report("b", 6, 2)},
+		}, true, false},
+		{"started again under the same identifier", leaving(report("a", 5, 9)), true, []event{
+			{at: later, report: report("a", 7, 1)},
+		}, true, false},
+		{"replaced by another server before the entry is read", leaving(report("a", 5, 9)), true, []event{
+			{at: atStart, report: report("b", 6, 1)},
+		}, true, false},
+		{"same server as before", report("a", 5, 9), false, []event{{at: later, report: report("a", 5, 10)}}, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newFakeStore()
+			storeOrders(t, store, configRecord(1))
+			e := nodeEntry{
+				Calls:    "10.0.0.1:1",
+				Domain:   "a",
+				Service:  testService,
+				Server:   test.stored.ID,
+				Version:  "v1",
+				Born:     test.stored.Born,
+				Sequence: test.stored.Sequence,
+				Since:    1,
+				Slots:    4,
+				Started:  1,
+				Written:  1,
+				Leaving:  test.stored.Leaving,
+				Departed: test.departed,
+			}
+			storeMeshRecord(t, store, nodeKeyPrefix+e.Calls, e)
+			s := testSync(t, store, e.Calls)
+			s.StartedAt = 2
+			play := func(at int) {
+				for _, ev := range test.events {
+					switch {
+					case ev.at != at:
+					case ev.deregister:
+						s.Server.HandleDeregistration(test.stored.ID, test.stored.Born)
+					default:
+						if err := s.Server.HandleReport(ev.report); err != nil {
+							t.Fatal(err)
+						}
+					}
+				}
+			}
+			play(atStart)
+			runSync(t, s)
+			waitFor(t, time.Second, "start", s.Ready)
+			play(later)
+			time.Sleep(leavingGrace + 50*time.Millisecond)
+			if r, usable := s.Server.Current(); usable != test.usable {
+				t.Errorf("server %+v is usable: %v, want %v", r, usable, test.usable)
+			}
+			got := newestEntry(t, store, e.Calls)
+			if got.Leaving != test.leaving || got.Server == "" || got.Version != "v1" {
+				t.Errorf("stored entry %+v, want leaving %v", got, test.leaving)
+			}
+		})
+	}
+}
+
+// TestStopAfterRestart guards against a node that stops before it has met its server again and stores an entry without the
+// server's version: the version would seem to have no nodes, and the departure of the server would be forgotten.
+func TestStopAfterRestart(t *testing.T) {
+	store := newFakeStore()
+	storeOrders(t, store, configRecord(1))
+	e := nodeEntry{
+		Calls:    "10.0.0.1:1",
+		Domain:   "a",
+		Service:  testService,
+		Server:   "a",
+		Version:  "v1",
+		Born:     5,
+		Sequence: 9,
+		Since:    1,
+		Slots:    4,
+		Started:  1,
+		Written:  1,
+		Leaving:  true,
+		Departed: true,
+	}
+	storeMeshRecord(t, store, nodeKeyPrefix+e.Calls, e)
+	s := testSync(t, store, e.Calls)
+	s.StartedAt = 2
+	runSync(t, s)
+	waitFor(t, time.Second, "start", s.Ready)
+	s.PublishStopping()
+	want := e
+	want.Started, want.Stopping, want.Since = 2, true, e.Born
+	if got := newestEntry(t, store, e.Calls); got != want {
+		t.Errorf("stored entry %+v, want %+v", got, want)
+	}
+}
+
+// newestEntry returns the newest entry of a node in the store.
+func newestEntry(t *testing.T, store *fakeStore, nodeAddr string) (e nodeEntry) {
+	t.Helper()
+	records, _, err := store.Newest(t.Context(), topicMesh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range records {
+		if k.Key == nodeKeyPrefix+nodeAddr {
+			if err := json.Unmarshal(k.Value, &e); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return e
+}
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -26,9 +26,6 @@
 	// urgentPublishTimeout bounds how long a leaving or deregistered server, or a stopping node, waits for the entry to
 	// be stored.
 	urgentPublishTimeout = 400 * time.Millisecond
-	// meshPollAttempts is the number of checks, at readyPollInterval, whether the mesh topic was read. After that a
-	// starting node stores its entry anyway.
-	meshPollAttempts = 15
 	// publishBackoff and maxPublishBackoff bound the mean pause after a failed write to the store.
 	publishBackoff    = 250 * time.Millisecond
 	maxPublishBackoff = time.Second
@@ -84,6 +81,9 @@
 		{
 			sync: s, topic: topicMesh, apply: s.applyMesh, isBehind: s.View.isMeshBehind, gatherPeers: s.FirstStart,
 			onWholeRead: func() {
+				if !s.meshRead.Load() {
+					s.recallServer()
+				}
 				s.meshRead.Store(true)
 				if !s.FirstStart {
 					signalPeersKnown()
@@ -271,7 +271,7 @@
 }
 
 func (s *StateSync) ownEntry() nodeEntry {
-	r, _ := s.Server.Current()
+	r, departed := s.Server.Published()
 	s.mu.Lock()
 	stopping, started, written := s.stopping, s.startedAt(), s.written
 	s.mu.Unlock()
@@ -294,6 +294,7 @@
 		Since:     since,
 		Slots:     r.Slots,
 		Leaving:   r.Leaving,
+		Departed:  departed,
 		ColdMS:    s.Server.ColdRemaining().Milliseconds(),
 		Started:   started,
 		Stopping:  stopping,
@@ -352,13 +353,10 @@
 	}
 }
 
-// awaitMeshTopic waits, for at most meshPollAttempts checks, until the mesh topic was read. The topic holds the entry
-// from before a restart, whose Since the new entry keeps.
+// awaitMeshTopic waits until the mesh topic was read. The topic holds the entry from before a restart, which may know that
+// the server has left, and whose Since and order the new entry continues.
 func (s *StateSync) awaitMeshTopic(ctx context.Context) {
-	for range meshPollAttempts {
-		if s.meshRead.Load() {
-			return
-		}
+	for !s.meshRead.Load() {
 		select {
 		case <-s.Clock.After(readyPollInterval):
 		case <-ctx.Done():
@@ -382,15 +380,16 @@
 	return nil
 }
 
+// recallServer gives the server's state the entry that an earlier process of this node has stored.
+func (s *StateSync) recallServer() {
+	if e, ok := s.View.lookupEntry(s.Self); ok {
+		s.Server.Recall(e.serverReport(), e.Departed)
+	}
+}
+
 // StoredServer returns the server from the last entry of this node that was read or set. After a restart of the node
 // this is the entry that its previous process stored. It reports false if there is none or it has no server.
 func (s *StateSync) StoredServer() (shunt.ServerReport, bool) {
 	e, ok := s.View.lookupEntry(s.Self)
-	if !ok || e.Server == "" {
-		return shunt.ServerReport{}, false
-	}
-	return shunt.ServerReport{
-		ID: e.Server, Born: e.Born, Sequence: e.Sequence, Service: e.Service, Domain: e.Domain, Version: e.Version,
-		Slots: e.Slots, Leaving: e.Leaving,
-	}, true
+	return e.serverReport(), ok && e.Server != ""
 }
