Ignore counts of responses that arrive after later ones

What an operator could see: evidence of a move that counts requests twice, so that a trial seems to have had more of them than it had.

Cause: nodes send their counts in calls that may overtake each other, and the last to arrive replaced the others. Counts that decrease are taken for those of a restarted node and measured from zero.

Change: counts carry the start of the process and a number, and older ones are ignored. Those of the previous version have neither and replace each other as before.

Evidence: TestLateTally fails on the commit before (7 requests instead of 9, 50 instead of 3).

--- a/meshd/mover.go
+++ b/meshd/mover.go
@@ -49,6 +49,8 @@
 		Peers    *peer.Pool
 		Self     string
 		Ready    func() bool // whether the node has read the entries and moves of the mesh
+		// Started returns the start of this process as in the node's entry. It may be nil.
+		Started func() int64
 		// Others returns the number of callers' requests for services other than that of the local backend server, and
 		// how many of them no server answered. It may be nil.
 		Others func() (requests, unanswered uint64)
@@ -56,6 +58,7 @@
 		mu        sync.Mutex
 		tally     shift.AnswerCounts
 		sentTotal uint64 // total of the tally that was sent last
+		sent      uint64 // number of tallies sent
 
 		moves map[string]*moveEvaluation // by service, used by Run only
 	}
--- a/meshd/mover_test.go
+++ b/meshd/mover_test.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// TestLateTally guards against counts of a node that arrive after later ones and are taken for those of a restarted node: the
+// same requests would count twice as evidence. Counts of a restarted node, and of one of an earlier version, replace the
+// previous ones.
+func TestLateTally(t *testing.T) {
+	counts := func(started int64, sent, answers uint64) *shift.AnswerCounts {
+		return &shift.AnswerCounts{
+			Started: started, Sent: sent, Order: 7, Version: "v2",
+			Routes: map[string]shift.RouteCounts{"browse": {Answers: answers}},
+		}
+	}
+	for _, test := range []struct {
+		name  string
+		calls []*shift.AnswerCounts
+		want  uint64
+	}{
+		{"overtaken", []*shift.AnswerCounts{counts(1, 1, 5), counts(1, 3, 9), counts(1, 2, 7)}, 9},
+		{"restarted", []*shift.AnswerCounts{counts(1, 8, 50), counts(2, 1, 3)}, 3},
+		{"late from before a restart", []*shift.AnswerCounts{counts(2, 1, 3), counts(1, 8, 50)}, 3},
+		{"earlier version", []*shift.AnswerCounts{counts(0, 0, 50), counts(0, 0, 3)}, 3},
+	} {
+		view := NewMeshView(clockwork.NewFakeClock())
+		for _, c := range test.calls {
+			view.setTally(testService, "10.0.0.1:1", c)
+		}
+		if got := view.tallies[testService]["10.0.0.1:1"].Total(); got != test.want {
+			t.Errorf("%s: %d requests, want %d", test.name, got, test.want)
+		}
+	}
+}
+
 // TestBaselineVersion checks that the version in service stays the one deployed first when all its servers are replaced
 // by later ones while servers of a new version are already running.
 func TestBaselineVersion(t *testing.T) {
--- a/meshd/node.go
+++ b/meshd/node.go
@@ -153,6 +153,7 @@
 		Self:     s.Listeners.CallsAddress(),
 		Peers:    peers,
 		Ready:    n.sync.Ready,
+		Started:  n.sync.publishedStart,
 	}
 	bodies := newBodyBudget(s.Memory)
 	n.inbound = &Inbound{
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -236,6 +236,13 @@
 // startedAt returns the start of this process as published. The caller must hold the lock.
 func (s *StateSync) startedAt() int64 { return max(s.started, s.StartedAt) }
 
+// publishedStart returns the start of this process as published.
+func (s *StateSync) publishedStart() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.startedAt()
+}
+
 // Publish schedules the node's entry to be stored. With urgent it returns once the entry is stored, or after
 // urgentPublishTimeout.
 func (s *StateSync) Publish(urgent bool) {
--- a/meshd/tally.go
+++ b/meshd/tally.go
@@ -35,7 +35,12 @@
 	if m.Others != nil {
 		m.tally.Others, m.tally.OthersUnanswered = m.Others()
 	}
+	m.sent++
 	args := TallyArgs{Node: m.Self, Tally: m.tally.Clone()}
+	args.Tally.Sent = m.sent
+	if m.Started != nil {
+		args.Tally.Started = m.Started()
+	}
 	m.mu.Unlock()
 	report, _ := m.Server.Current()
 	args.Service = report.Service
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -202,9 +202,14 @@
 	}
 }
 
+// setTally records the response counts of a node, unless later ones are known: counts that decrease are taken for those of
+// a restarted node and added to the evidence once more.
 func (v *MeshView) setTally(service, node string, t *shift.AnswerCounts) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if old := v.tallies[service][node]; old != nil && t.IsOlder(old) {
+		return
+	}
 	if v.tallies[service] == nil {
 		v.tallies[service] = make(map[string]*shift.AnswerCounts)
 	}
--- a/shift/evidence.go
+++ b/shift/evidence.go
@@ -34,6 +34,10 @@
 	// AnswerCounts counts the requests sent to one node's backend server since the start of a move, by route, including
 	// those without an answer. The counts never decrease.
 	AnswerCounts struct {
+		// Started is the start of the node's process as in its entry, and Sent counts the times that it has sent the counts.
+		// Both are 0 from nodes of earlier versions.
+		Started int64                  `json:"started,omitempty"`
+		Sent    uint64                 `json:"sent,omitempty"`
 		Order   int64                  `json:"order"`
 		Version string                 `json:"version"`
 		Routes  map[string]RouteCounts `json:"routes"`
--- a/shift/tally.go
+++ b/shift/tally.go
@@ -27,6 +27,14 @@
 	t.Routes[route] = r
 }
 
+// IsOlder reports whether the counts were sent before others of the same node. Calls between nodes may overtake each other.
+func (t *AnswerCounts) IsOlder(other *AnswerCounts) bool {
+	if t.Started != other.Started {
+		return t.Started < other.Started
+	}
+	return t.Sent < other.Sent
+}
+
 // Clone returns a deep copy.
 func (t *AnswerCounts) Clone() AnswerCounts {
 	out := *t
