Store the status of a running move only if no other was stored

What an operator could see: a move that is "running" for good although it has ended.

Cause: the status was appended without a condition. If the store loses the answer it may do the write seconds later, after the report of the end.

Change: "running" is appended on the condition that the status topic ends where the node has read it. A final status of the version from before the first look belongs to an earlier move and does not count.

Evidence: TestLateRunningStatus fails on the commit before ("v2 running" after "v2 back").

--- a/meshd/mover.go
+++ b/meshd/mover.go
@@ -70,6 +70,7 @@
 		phase         shift.Phase // the next phase according to the evidence
 		phaseSince    time.Time
 		reportedPhase shift.Phase // last phase that this node has reported or need not report
+		statusEnd     int64       // end of the status topic at the first look, plus one; 0 before it
 		storedPhase   shift.Phase // last phase that this node has stored
 		haltedAt      time.Time   // when this node last halted the new version
 	}
@@ -270,13 +271,27 @@
 	if eval.reportedPhase == phase || !stored && (m.Clock.Since(v.phaseSince) < wait || m.rank(v.order) > maxRank) {
 		return
 	}
-	if m.rank(v.order) > 0 && !stored {
-		reported, err := m.endReported(ctx, v)
+	first := m.rank(v.order) == 0
+	if phase == shift.Trial && !first {
+		eval.reportedPhase = phase
+		return
+	}
+	at := int64(-1)
+	if phase == shift.Trial || !first && !stored {
+		reportedAt, end, err := m.endReported(ctx, v)
 		if err != nil {
 			log.WithError(err).Warn("cannot read move status records")
 			return
 		}
-		if reported || phase == shift.Trial {
+		if phase == shift.Trial {
+			// A write that the store does late must not follow the report of the end. A report from before the first
+			// look is that of an earlier move to the version.
+			if eval.statusEnd == 0 {
+				eval.statusEnd = end + 1
+			}
+			at = end
+		}
+		if reportedAt >= max(eval.statusEnd-1, 0) {
 			eval.reportedPhase = phase
 			return
 		}
@@ -294,7 +309,7 @@
 		log.WithError(err).Error("cannot encode move status record")
 		return
 	}
-	if _, err := m.Store.Append(ctx, m.Operator.StatusTopic(), -1, k); err != nil {
+	if _, err := m.Store.Append(ctx, m.Operator.StatusTopic(), at, k); err != nil {
 		log.WithError(err).WithField("service", v.order.Service).Warn("cannot store move status record")
 		return
 	}
@@ -302,13 +317,18 @@
 	log.WithFields(log.Fields{"service": v.order.Service, "phase": phase}).Info("move status reported to operator")
 }
 
-// endReported reports whether the end of a move was already reported to the operator.
-func (m *Mover) endReported(ctx context.Context, v moveView) (bool, error) {
-	records, _, err := m.Store.Newest(ctx, m.Operator.StatusTopic())
+// endReported returns the offset at which the end of a move to the version was reported to the operator, or -1, and where
+// the topic ends.
+func (m *Mover) endReported(ctx context.Context, v moveView) (reportedAt, end int64, err error) {
+	records, end, err := m.Store.Newest(ctx, m.Operator.StatusTopic())
 	if err != nil {
-		return false, err
+		return 0, 0, err
 	}
-	return slices.ContainsFunc(records, func(k shunt.KeyedRecord) bool {
+	i := slices.IndexFunc(records, func(k shunt.KeyedRecord) bool {
 		return m.Operator.IsFinalStatus(k, v.order.Service, v.order.Target)
-	}), nil
+	})
+	if i < 0 {
+		return -1, end, nil
+	}
+	return records[i].Offset, end, nil
 }
--- a/meshd/mover_test.go
+++ b/meshd/mover_test.go
@@ -1,6 +1,7 @@
 package meshd
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -150,6 +151,50 @@
 	}
 }
 
+// TestLateRunningStatus guards against the status of a move that says "running" for good after its end: the store does that
+// write late. It depends on the topic as it was read, and another status in the meantime prevents it.
+func TestLateRunningStatus(t *testing.T) {
+	store := newFakeStore()
+	s := testSync(t, store, "10.0.0.9:1")
+	s.View.SetOrder(testOrder())
+	s.View.setMove(testService, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: shift.Trial}, 1)
+	back := shunt.KeyedRecord{Key: testService, Value: []byte("v2 back")}
+	late := &lateStore{fakeStore: store, before: func() {
+		if _, err := store.Append(t.Context(), "answers", -1, back); err != nil {
+			t.Fatal(err)
+		}
+	}}
+	m := &Mover{
+		Clock: s.Clock, Store: late, Operator: fakeOperatorCodec{}, View: s.View, Server: s.Server, Self: s.Self,
+		Ready: func() bool { return true }, moves: make(map[string]*moveEvaluation),
+	}
+	for range 2 {
+		for _, v := range s.View.orderedMoves() {
+			m.evaluate(t.Context(), v)
+		}
+	}
+	records, _, err := store.Newest(t.Context(), "answers")
+	if err != nil || len(records) != 1 || string(records[0].Value) != string(back.Value) {
+		t.Errorf("status %+v, error %v, want %s", records, err, back.Value)
+	}
+}
+
+// lateStore does something else before its first append.
+type lateStore struct {
+	*fakeStore
+	before func()
+}
+
+// Append implements shunt.Store.
+func (s *lateStore) Append(ctx context.Context, topic string, at int64, records ...shunt.KeyedRecord) (int64, error) {
+	if s.before != nil {
+		before := s.before
+		s.before = nil
+		before()
+	}
+	return s.fakeStore.Append(ctx, topic, at, records...)
+}
+
 // TestBaselineVersion checks that the version in service stays the one deployed first when all its servers are replaced
 // by later ones while servers of a new version are already running.
 func TestBaselineVersion(t *testing.T) {
