Send the age of the order with the counts of a move

What callers and operators could see: a good version beside two kills of half of the processes missed its deadline and was rolled back.

Cause: a node that restarts in a move knows its order's age only from the move's record, as old as that was when it was written.

Change: each report of counts carries the time since the order by the sender's steady clock, and the receiver keeps the greatest. No node takes an order for older than it is.

Evidence: TestOrderAgeOfOtherNode.

--- a/meshd/exposure_test.go
+++ b/meshd/exposure_test.go
@@ -194,6 +194,42 @@
 	}
 }
 
+// TestOrderAgeOfOtherNode guards against a good move that misses its deadline because the node that decides has restarted in
+// it and takes the order for younger than it is: the counts that it gets from other nodes carry the age. A smaller age, one
+// of another order and one out of range change nothing.
+func TestOrderAgeOfOtherNode(t *testing.T) {
+	c := clockwork.NewFakeClock()
+	view := NewMeshView(c)
+	view.SetOrder(testOrder())
+	view.setMove(testService, shift.Record{Order: 7, From: "v1", Target: "v2", Phase: shift.Trial, Elapsed: 300}, 1)
+	feed := newFeed(c, view)
+	for _, step := range []struct {
+		order     int64
+		age, want time.Duration
+	}{
+		{7, 0, 300 * time.Millisecond},
+		{7, 4 * time.Second, 4 * time.Second},
+		{7, 3 * time.Second, 4 * time.Second},
+		{8, 9 * time.Second, 4 * time.Second},
+		{7, maxOrderAge + 1, 4 * time.Second},
+		{7, -time.Second, 4 * time.Second},
+	} {
+		args := TallyArgs{Service: testService, Tally: shift.AnswerCounts{Order: step.order}, Age: step.age}
+		if err := feed.Tally(args, &struct{}{}); err != nil {
+			t.Fatal(err)
+		}
+		if got := view.orderAge(testService, 7); got != step.want {
+			t.Errorf(
+				"age %s of order %d: the node takes its order for %s old, want %s",
+				step.age,
+				step.order,
+				got,
+				step.want,
+			)
+		}
+	}
+}
+
 // TestHaltWithoutStore guards against a bad version that goes on receiving requests because the nodes that decide cannot
 // reach the store. They halt it at the nodes of its servers, which refuse its requests and store the decision in their
 // place.
--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -83,11 +83,13 @@
 		Hops   int
 	}
 
-	// TallyArgs reports the response counts of a node's backend server during a move.
+	// TallyArgs reports the response counts of a node's backend server during a move, and the time since the order of the
+	// move by the steady clock of the node. The time is 0 from nodes of earlier versions.
 	TallyArgs struct {
 		Service string
 		Node    string
 		Tally   shift.AnswerCounts
+		Age     time.Duration
 	}
 
 	// HaltArgs tells a node that the new version of the move with the given order is bad.
@@ -148,6 +150,7 @@
 // Tally records the response counts of another node's backend server.
 func (f *Feed) Tally(args TallyArgs, _ *struct{}) error {
 	f.view.setTally(args.Service, args.Node, &args.Tally)
+	f.view.learnOrderAge(args.Service, args.Tally.Order, args.Age)
 	return nil
 }
 
--- a/meshd/tally.go
+++ b/meshd/tally.go
@@ -44,6 +44,7 @@
 	m.mu.Unlock()
 	report, _ := m.Server.Current()
 	args.Service = report.Service
+	args.Age = m.View.orderAge(args.Service, args.Tally.Order)
 	m.View.setTally(args.Service, m.Self, &args.Tally)
 	for _, addr := range m.tallyTargets(args.Service, args.Tally.Order) {
 		go m.sendTallyTo(ctx, addr, args)
--- a/meshd/view.go
+++ b/meshd/view.go
@@ -202,6 +202,34 @@
 	}
 }
 
+// orderAge returns the time since the order of a service's move with the given offset, or 0 if that is not the current order.
+func (v *MeshView) orderAge(service string, order int64) time.Duration {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if o, ok := v.orders[service]; !ok || o.Offset != order {
+		return 0
+	}
+	return v.clock.Since(v.orderedAt[service])
+}
+
+// learnOrderAge corrects the time of a service's order by the age that another node knows. No node takes an order for older
+// than it is, so the greatest age is the best one. A node that has restarted in the move takes it for too young.
+func (v *MeshView) learnOrderAge(service string, order int64, age time.Duration) {
+	if age <= 0 || age > maxOrderAge {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at := v.clock.Now().Add(-age)
+	if o, ok := v.orders[service]; !ok || o.Offset != order || !at.Before(v.orderedAt[service]) {
+		return
+	}
+	log.WithFields(log.Fields{
+		"service": service, "order": order, "age": age, "was": v.clock.Since(v.orderedAt[service]),
+	}).Debug("age of order corrected")
+	v.orderedAt[service] = at
+}
+
 // setTally records the response counts of a node, unless later ones are known: counts that decrease are taken for those of
 // a restarted node and added to the evidence once more.
 func (v *MeshView) setTally(service, node string, t *shift.AnswerCounts) {
