Bound what a reply of another node's feed unpacks to

What could happen: a reply of 250 kB that unpacks to 200 MB made a node allocate 256 MB, more than the smallest instance has. Found while looking for what bounds the other peers; the limit of 64 MiB was that of the bytes before decoding, which allocates several times as much.

Change: 16 MiB, twice the entries of 21,000 nodes.

--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -24,8 +24,9 @@
 	feedService = "Feed"
 	// feedHistoryLimit is the number of records that a feed keeps per topic in addition to the newest of each key.
 	feedHistoryLimit = 512
-	// maxUnpackedBytes bounds the uncompressed size of another node's reply.
-	maxUnpackedBytes = 64 << 20
+	// maxUnpackedBytes bounds the uncompressed size of another node's reply. It is twice that of 21,000 node entries.
+	// Decoding allocates several times as much.
+	maxUnpackedBytes = 16 << 20
 	// maxFeedWait bounds how long Follow waits for new records.
 	maxFeedWait = 2 * time.Second
 	// maxFeedHops bounds the number of nodes that a record passes on its way from the store. Nodes with different views
--- a/meshd/feed_test.go
+++ b/meshd/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -176,6 +177,23 @@
 	}
 }
 
+// TestPackedZeros guards against a small reply of another node that unpacks to more than the memory of an instance.
+func TestPackedZeros(t *testing.T) {
+	packed, err := pack([]shunt.KeyedRecord{{Key: "a", Value: make([]byte, 200<<20)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := unpack(packed); err == nil {
+		t.Errorf("%d bytes unpacked to 200 MB", len(packed))
+	}
+	runtime.ReadMemStats(&after)
+	if allocated := (after.TotalAlloc - before.TotalAlloc) >> 20; allocated > 92 {
+		t.Errorf("%d MB allocated, want at most half of the smallest instance's 184 MB", allocated)
+	}
+}
+
 // TestPackSize checks that a configuration with many routes is compressed to at most a quarter of its size. Nodes read
 // it from each other over links that may be slow, and larger replies would delay a new configuration.
 func TestPackSize(t *testing.T) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -131,6 +131,49 @@
 	}
 }
 
+// Guards against a node that runs out of memory because the peer that it calls sends bytes without end: an address may be
+// used again by another program. The call must fail before its deadline, and little may be allocated.
+func TestEndlessPeer(t *testing.T) {
+	for name, first := range map[string][]byte{
+		"zeros":                  nil,
+		"text":                   []byte("HTTP/1.1 200 OK\r\n\r\n"),
+		"length above the limit": {0xff, 0xff, 0xff, 0xff},
+		"longest frame allowed":  binary.BigEndian.AppendUint32(nil, DefaultMessageLimit),
+	} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			data := make([]byte, 64<<10)
+			for {
+				conn, acceptErr := l.Accept()
+				if acceptErr != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					for _, writeErr := conn.Write(first); writeErr == nil; {
+						_, writeErr = conn.Write(data)
+					}
+				}()
+			}
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		before := allocatedBytes()
+		var reply string
+		err = newPool(t, Options{}).Call(ctx, l.Addr().String(), "x", "Echo.Echo", "a", &reply)
+		if err == nil || ctx.Err() != nil {
+			t.Errorf("%s: call ended with %v, want an error before its deadline", name, err)
+		}
+		if grown := allocatedBytes() - before; grown > 8<<20 {
+			t.Errorf("%s: %d bytes allocated", name, grown)
+		}
+		cancel()
+		l.Close()
+	}
+}
+
 // Guards against accepting a message above the limit, at the sender or at the receiver: the call must fail and the next
 // one succeed.
 func TestMessageLimit(t *testing.T) {
