--- a/meshd/server_test.go
+++ b/meshd/server_test.go
@@ -363,6 +363,7 @@
 		{"same server as before", report("a", 5, 9), false, []event{{at: later, report: report("a", 5, 10)}}, true, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			store := newFakeStore()
 			storeOrders(t, store, configRecord(1))
 			e := nodeEntry{
