--- a/meshd/mover.go
+++ b/meshd/mover.go
@@ -70,7 +70,8 @@
 		phase         shift.Phase // the next phase according to the evidence
 		phaseSince    time.Time
 		reportedPhase shift.Phase // last phase that this node has reported or need not report
-		statusEnd     int64       // end of the status topic at the first look, plus one; 0 before it
+		statusRead    bool        // whether the status topic was read for the report of the trial
+		statusEnd     int64       // end of the status topic at that read
 		storedPhase   shift.Phase // last phase that this node has stored
 		haltedAt      time.Time   // when this node last halted the new version
 	}
@@ -285,13 +286,13 @@
 		}
 		if phase == shift.Trial {
 			// A write that the store does late must not follow the report of the end. A report from before the first
-			// look is that of an earlier move to the version.
-			if eval.statusEnd == 0 {
-				eval.statusEnd = end + 1
+			// read is that of an earlier move to the version.
+			if !eval.statusRead {
+				eval.statusRead, eval.statusEnd = true, end
 			}
 			at = end
 		}
-		if reportedAt >= max(eval.statusEnd-1, 0) {
+		if reportedAt >= eval.statusEnd {
 			eval.reportedPhase = phase
 			return
 		}
