--- a/meshd/publish_test.go
+++ b/meshd/publish_test.go
@@ -63,19 +63,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			store := newFakeStore()
 			storeOrders(t, store, configRecord(1))
-			stopping := nodeEntry{
-				Calls:    "10.0.0.1:1",
-				Domain:   "a",
-				Service:  testService,
-				Server:   "s-1",
-				Version:  "v1",
-				Born:     1,
-				Sequence: 4,
-				Since:    1,
-				Slots:    4,
-				Started:  5,
-				Written:  2,
-			}
+			stopping := earlierEntry()
+			stopping.Started, stopping.Written = 5, 2
 			storeMeshRecord(t, store, nodeKeyPrefix+stopping.Calls, stopping)
 			stopping.Stopping, stopping.Written = true, 3
 
@@ -84,12 +73,12 @@
 			runSync(t, s)
 			runSync(t, other)
 			waitFor(t, time.Second, "start", func() bool { return s.Ready() && other.Ready() })
-			if err := s.Server.HandleReport(report("s-1", 1, 5)); err != nil {
+			if err := s.Server.HandleReport(report("a", 5, 10)); err != nil {
 				t.Fatal(err)
 			}
 			serves := func(s *StateSync) bool {
 				e, ok := s.View.lookupEntry(stopping.Calls)
-				return ok && e.Sequence == 5 && !e.Stopping
+				return ok && e.Sequence == 10 && !e.Stopping
 			}
 			waitFor(t, time.Second, "entry of the second process", func() bool { return serves(other) })
 			entries := func() int {
--- a/meshd/server_test.go
+++ b/meshd/server_test.go
@@ -366,21 +366,9 @@
 			t.Parallel()
 			store := newFakeStore()
 			storeOrders(t, store, configRecord(1))
-			e := nodeEntry{
-				Calls:    "10.0.0.1:1",
-				Domain:   "a",
-				Service:  testService,
-				Server:   test.stored.ID,
-				Version:  "v1",
-				Born:     test.stored.Born,
-				Sequence: test.stored.Sequence,
-				Since:    1,
-				Slots:    4,
-				Started:  1,
-				Written:  1,
-				Leaving:  test.stored.Leaving,
-				Departed: test.departed,
-			}
+			e := earlierEntry()
+			e.Server, e.Born, e.Sequence = test.stored.ID, test.stored.Born, test.stored.Sequence
+			e.Leaving, e.Departed = test.stored.Leaving, test.departed
 			storeMeshRecord(t, store, nodeKeyPrefix+e.Calls, e)
 			s := testSync(t, store, e.Calls)
 			s.StartedAt = 2
@@ -418,7 +406,24 @@
 func TestStopAfterRestart(t *testing.T) {
 	store := newFakeStore()
 	storeOrders(t, store, configRecord(1))
-	e := nodeEntry{
+	e := earlierEntry()
+	e.Leaving, e.Departed = true, true
+	storeMeshRecord(t, store, nodeKeyPrefix+e.Calls, e)
+	s := testSync(t, store, e.Calls)
+	s.StartedAt = 2
+	runSync(t, s)
+	waitFor(t, time.Second, "start", s.Ready)
+	s.PublishStopping()
+	want := e
+	want.Started, want.Stopping, want.Since = 2, true, e.Born
+	if got := newestEntry(t, store, e.Calls); got != want {
+		t.Errorf("stored entry %+v, want %+v", got, want)
+	}
+}
+
+// earlierEntry returns the entry of an earlier process of a node, whose server is ready.
+func earlierEntry() nodeEntry {
+	return nodeEntry{
 		Calls:    "10.0.0.1:1",
 		Domain:   "a",
 		Service:  testService,
@@ -430,19 +435,6 @@
 		Slots:    4,
 		Started:  1,
 		Written:  1,
-		Leaving:  true,
-		Departed: true,
-	}
-	storeMeshRecord(t, store, nodeKeyPrefix+e.Calls, e)
-	s := testSync(t, store, e.Calls)
-	s.StartedAt = 2
-	runSync(t, s)
-	waitFor(t, time.Second, "start", s.Ready)
-	s.PublishStopping()
-	want := e
-	want.Started, want.Stopping, want.Since = 2, true, e.Born
-	if got := newestEntry(t, store, e.Calls); got != want {
-		t.Errorf("stored entry %+v, want %+v", got, want)
 	}
 }
 
