Review case 7: a route is refused for good after slow servers and a lower timeout

Seen: all servers of a service are 12 times as slow for 9 s; the operator lowers the timeout of an added route from 1,500 to 600 ms meanwhile. From then on each request on the route is refused with 503, for as long as the nodes run, though the servers are fast and idle again: 0 of some 600 served in 20 s of steady state, all on the first routes.

Code at fault: Queue.Submit refuses what its expected work does not fit, and the expected work of a route, a moving mean of answers, changes with answers only (sched/queue.go, meshd/routestats.go, meshd/inbound.go).

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/review/yard -tsmesh target/tsmesh -folder "$folder" born
+exec target/review/yard -tsmesh target/tsmesh -folder "$folder" slow
--- a/review/testdata/yard/main.go
+++ b/review/testdata/yard/main.go
@@ -17,7 +17,7 @@
 
 var cases = map[string]func(*yard) (int, error){
 	"born":    leavingAfterRestart,
-	"stop":    longUploadsDuringStop,
+	"slow":    timeoutAfterSlowness,
 	"uploads": burstOfUploads,
 }
 
--- a/review/testdata/yard/upstream.go
+++ b/review/testdata/yard/upstream.go
@@ -28,8 +28,6 @@
 		born    int64 // milliseconds since the epoch, by the clock of its machine
 		// work is the time that a request takes. It is called when the request begins.
 		work func(r *http.Request) time.Duration
-		// goesOn means that the upstream does not drop a request whose connection is closed.
-		goesOn bool
 
 		mu       sync.Mutex
 		sequence int64
@@ -165,19 +163,23 @@
 	if u.work != nil {
 		work = u.work(r)
 	}
-	left := r.Context().Done()
-	if u.goesOn {
-		left = nil
+	status := http.StatusOK
+	if ms, err := strconv.Atoi(r.Header.Get(names["deadline"])); err == nil {
+		// It stops work at the deadline that it is given.
+		if deadline := time.Duration(ms) * time.Millisecond; work > deadline {
+			work, status = deadline, http.StatusGatewayTimeout
+		}
 	}
 	select {
 	case <-time.After(work):
-	case <-left:
+	case <-r.Context().Done():
 		u.finish(number, len(body), true)
 		return
 	}
 	text := u.id + " ran " + id + "\n"
 	w.Header().Set(names["signature"], "1.00."+u.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
 	_, err = io.WriteString(w, text)
 	u.finish(number, len(body), err != nil)
 }
--- a/review/testdata/yard/yard.go
+++ b/review/testdata/yard/yard.go
@@ -41,6 +41,8 @@
 	namesText string
 	//go:embed config.json
 	configText string
+	//go:embed route.json
+	routeText string
 
 	// names has the platform's names of headers and topics, by the words of names.txt.
 	names = parseNames(namesText)
@@ -110,8 +112,16 @@
 }
 
 // putConfig writes a configuration whose routes have the given timeout.
-func (y *yard) putConfig(version int, timeout time.Duration) {
-	y.store.Put(names["config"], "config", fmt.Sprintf(configText, version, timeout.Milliseconds()))
+func (y *yard) putConfig(version int, timeout time.Duration) { y.putRoutes(version, timeout, "") }
+
+// putLateRoute writes a configuration with a further route, which has a timeout of its own.
+func (y *yard) putLateRoute(version int, timeout, lateTimeout time.Duration) {
+	y.putRoutes(version, timeout, fmt.Sprintf(routeText, lateTimeout.Milliseconds()))
+	y.logf("operator: the further route has a timeout of %s", lateTimeout)
+}
+
+func (y *yard) putRoutes(version int, timeout time.Duration, further string) {
+	y.store.Put(names["config"], "config", fmt.Sprintf(configText, version, timeout.Milliseconds(), further))
 	y.logf("operator: configuration %d acknowledged", version)
 }
 
