--- a/review/testdata/yard/born.go
+++ b/review/testdata/yard/born.go
@@ -102,6 +102,6 @@
 		case <-time.After(interval):
 		}
 		got := c.send("POST", "/once/order", strings.NewReader("order"), 1500*time.Millisecond)
-		c.node.yard.logf("client: %s", got)
+		c.node.yard.logf("client got %s", got)
 	}
 }
--- a/review/testdata/yard/client.go
+++ b/review/testdata/yard/client.go
@@ -40,6 +40,7 @@
 // send sends a request and returns its answer. It leaves when the deadline has passed.
 func (c *client) send(method, path string, body io.Reader, deadline time.Duration) answer {
 	a := answer{id: fmt.Sprintf("r%06d", lastRequest.Add(1)), sent: time.Now()}
+	c.node.yard.logf("client sends %s to %s: %s %s", a.id, c.node.settings.Name, method, path)
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.node.at(portCallers)+path, body)
--- a/review/testdata/yard/slow.go
+++ b/review/testdata/yard/slow.go
@@ -117,7 +117,7 @@
 		case <-time.After(interval):
 		}
 		got := c.send(http.MethodGet, prefix+"page", nil, 1500*time.Millisecond)
-		c.node.yard.logf("client: %s %s", prefix, got)
+		c.node.yard.logf("client got %s %s", prefix, got)
 		count.add(got.status == http.StatusOK)
 	}
 }
--- a/review/testdata/yard/uploads.go
+++ b/review/testdata/yard/uploads.go
@@ -44,7 +44,7 @@
 				}
 				file := &file{data: large[:megabytes<<20]}
 				got := newClient(y.nodes[1]).send("POST", "/up/file", file, deadline)
-				y.logf("client: file of %d MiB: %s", megabytes, got)
+				y.logf("client got for a file of %d MiB: %s", megabytes, got)
 				mu.Lock()
 				defer mu.Unlock()
 				sent++
--- a/review/testdata/yard/upstream.go
+++ b/review/testdata/yard/upstream.go
@@ -196,9 +196,12 @@
 
 func (u *upstream) finish(number, bytes int, cut bool) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	a := &u.arrivals[number]
 	a.ended, a.cut, a.bytes = time.Now(), cut, bytes
+	run := *a
+	u.mu.Unlock()
+	u.node.yard.logf("upstream %s ran %s for %d ms, body of %d bytes, cut %t",
+		u.id, run.id, run.ended.Sub(run.at).Milliseconds(), run.bytes, run.cut)
 }
 
 // list returns the requests that the upstream has begun to run.
