--- a/review/testdata/yard/uploads.go
+++ b/review/testdata/yard/uploads.go
@@ -11,7 +11,7 @@
 // With the trouble there are half as many users more.
 func burstOfUploads(y *yard) (int, error) {
 	const (
-		rounds        = 16
+		rounds        = 30
 		largeMegabyte = 60
 		smallMegabyte = 10
 		smallAfter    = 800 * time.Millisecond // when most of the large file is in
