Log the expected service time with a request that the server did not answer

Hypotheses, and what would tell them apart: the queue expects a long wait (wait, running and queued in the log line), the sender hands on too little time (left), or the node expects the route to take long (not logged). The log line of the server's node now has work, the expected service time, and observed, the age of the last response it rests on.

--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -295,7 +295,7 @@
 		o.stats.observeOutcome(c.route.Name, failed)
 	}
 	if res.outcome == shunt.AttemptAnswered && res.status < http.StatusBadRequest {
-		o.stats.observeLatency(c.route.Name, end.Sub(now))
+		o.stats.observeLatency(c.route.Name, end.Sub(now), end)
 		o.stats.observeResponseBytes(c.route.Name, len(res.body))
 	}
 	return res
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -118,7 +118,8 @@
 		log.WithFields(log.Fields{
 			"request": c.id, "route": c.route, "server": c.server, "outcome": res.outcome, "reason": res.reason,
 			"running": l.InFlight, "queued": l.Queued, "limit": l.Limit, "left": c.timeout, "wait": res.wait,
-			"took": in.Clock.Since(arrived),
+			"took": in.Clock.Since(arrived), "work": in.stats.expectedLatency(c.route),
+			"observed": in.stats.sinceObserved(c.route, in.Clock.Now()),
 		}).Info("request not answered by server")
 	}
 	return res
@@ -208,7 +209,7 @@
 	if res.outcome == shunt.AttemptAnswered {
 		in.Server.RecordResponse(sent)
 		took = in.Clock.Since(sent)
-		in.stats.observeLatency(c.route, took)
+		in.stats.observeLatency(c.route, took, in.Clock.Now())
 		if _, mean := in.Server.Pace(); mean > 0 {
 			in.stats.observeWork(c.route, took)
 		}
--- a/meshd/routestats.go
+++ b/meshd/routestats.go
@@ -26,6 +26,7 @@
 
 	routeStats struct {
 		latency       time.Duration
+		observedAt    time.Time // of the latest latency
 		responseBytes int
 		failureRate   float64
 		nested        bool // servers call the route; kept with spillover only
@@ -36,10 +37,11 @@
 	}
 )
 
-func (t *routeStatsTable) observeLatency(route string, took time.Duration) {
+func (t *routeStatsTable) observeLatency(route string, took time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(route)
+	e.observedAt = now
 	if e.latency == 0 {
 		e.latency = took
 		return
@@ -123,6 +125,16 @@
 	return defaultLatency
 }
 
+// sinceObserved returns the age of the latest observation in expectedLatency, or 0 without observations.
+func (t *routeStatsTable) sinceObserved(route string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.routes[route]; e != nil && !e.observedAt.IsZero() {
+		return now.Sub(e.observedAt)
+	}
+	return 0
+}
+
 // expectedResponseBytes returns the mean response size of a route.
 func (t *routeStatsTable) expectedResponseBytes(route string) int {
 	t.mu.Lock()
