Let a request through once a second when the expected service time excludes all

Cause: Queue.Submit refuses a request if 0.7 of the expected service time does not fit before its deadline. That time is a moving mean of the route's responses at this node. The slow responses had raised it to 1.4 s; with the lower timeout it excluded every request, and only a request that runs changes it. The nodes of all servers had learned the same.

Change: the mean is a sched.Estimate. When it has excluded requests for 1 s without a response on the route, one of them is admitted as if nothing were known of the route, and at most one in each further second. If its response is faster than the mean, it replaces the mean, whose observations are older. A 504 no longer lowers the mean: the server gave up, and the request would have taken longer. While the servers are slow the route thus costs one request a second at each of them, and all others are refused at once as before. Each such request has a log line and is counted in side_probes_total.

Why it works: the state in which nothing can correct the mean now ends by itself, whatever led to it (a lower timeout, callers with shorter deadlines), and the first response after it decides alone.

--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -13,6 +13,7 @@
 	"tanagershunt.example/shunt/conns"
 	"tanagershunt.example/shunt/place"
 	"tanagershunt.example/shunt/proxy"
+	"tanagershunt.example/shunt/sched"
 	"tanagershunt.example/shunt/shift"
 )
 
@@ -295,7 +296,7 @@
 		o.stats.observeOutcome(c.route.Name, failed)
 	}
 	if res.outcome == shunt.AttemptAnswered && res.status < http.StatusBadRequest {
-		o.stats.observeLatency(c.route.Name, end.Sub(now), end)
+		o.stats.observeLatency(c.route.Name, sched.Observation{Took: end.Sub(now)}, end)
 		o.stats.observeResponseBytes(c.route.Name, len(res.body))
 	}
 	return res
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -27,8 +27,6 @@
 	// nonRepeatableMaxIdle is the idle time up to which a pooled connection carries non-repeatable requests. The server
 	// may have closed a connection that was idle for longer, and then it is unknown whether the request ran.
 	nonRepeatableMaxIdle = time.Second
-	// defaultLatency is the expected latency of a route without observations.
-	defaultLatency = 50 * time.Millisecond
 )
 
 type (
@@ -144,21 +142,44 @@
 		return notRunResult("sender's tenants are out of date")
 	}
 	owner, _ := tenants.ByName(c.tenant)
-	latency := in.stats.expectedLatency(c.route)
-	end, ok := in.stop.fit(arrived, arrived.Add(c.timeout), latency, c.terms.repeatable)
+	end, ok := in.stop.fit(arrived, arrived.Add(c.timeout), in.stats.expectedLatency(c.route), c.terms.repeatable)
 	if !ok {
 		return closedResult("node stops before the request can end")
 	}
 	c.timeout = end.Sub(arrived)
 	nested := in.callers.record(c.route, c.caller, in.View.services())
 	c.nested = nested
-	waiter, refusal := in.Queue.Submit(sched.Request{
+	latency, probe := in.stats.expectWithin(c.route, c.timeout, arrived)
+	request := sched.Request{
 		Nested: nested, Shared: tenants != nil && (c.tenant != "" || !nested), Tenant: c.tenant,
 		TenantPriority: owner.Priority,
 		Priority:       c.terms.priority, TargetAt: arrived.Add(c.terms.latencyTarget),
 		Deadline: arrived.Add(c.timeout), Work: latency, MaxWait: c.terms.maxWait,
 		LongWork: time.Duration(in.admission().WorkMargin * float64(latency)),
-	})
+	}
+	if !probe {
+		return in.runQueued(ctx, c, request, arrived, false)
+	}
+	expected := in.stats.expectedLatency(c.route)
+	res := in.runQueued(ctx, c, request, arrived, true)
+	if !res.delivered {
+		in.stats.returnProbe(c.route, in.Clock.Now())
+		return res
+	}
+	in.Meter.countProbe(res)
+	log.WithFields(log.Fields{
+		"request": c.id, "route": c.route, "server": c.server, "outcome": res.outcome, "status": res.status,
+		"left": c.timeout, "expected": expected, "work": in.stats.expectedLatency(c.route),
+		"took": in.Clock.Since(arrived),
+	}).Info("request let through although its route was expected to take too long")
+	return res
+}
+
+// runQueued waits for a slot and sends the request to the server.
+func (in *Inbound) runQueued(
+	ctx context.Context, c *inboundCall, request sched.Request, arrived time.Time, probe bool,
+) *inboundResult {
+	waiter, refusal := in.Queue.Submit(request)
 	if refusal != nil {
 		return refusedResult(refusal)
 	}
@@ -209,7 +230,9 @@
 	if res.outcome == shunt.AttemptAnswered {
 		in.Server.RecordResponse(sent)
 		took = in.Clock.Since(sent)
-		in.stats.observeLatency(c.route, took, in.Clock.Now())
+		in.stats.observeLatency(c.route, sched.Observation{
+			Took: took, Censored: res.status == http.StatusGatewayTimeout, Probe: probe,
+		}, in.Clock.Now())
 		if _, mean := in.Server.Pace(); mean > 0 {
 			in.stats.observeWork(c.route, took)
 		}
--- a/meshd/inbound_test.go
+++ b/meshd/inbound_test.go
@@ -11,6 +11,7 @@
 
 	"tanagershunt.example/shunt"
 	"tanagershunt.example/shunt/conns"
+	"tanagershunt.example/shunt/sched"
 )
 
 // pacedCodec is the codec of a server that tells a pace.
@@ -67,7 +68,7 @@
 		if load, _ := q.Load(); (load.InFlight == 1) != paced {
 			t.Errorf("paced %v: %d requests hold slots after the caller left", paced, load.InFlight)
 		}
-		c.Advance(defaultLatency)
+		c.Advance(sched.DefaultWork)
 		waitFor(t, time.Second, "slot released at the expected end", func() bool {
 			load, _ := q.Load()
 			return load.InFlight == 0
--- a/meshd/meter.go
+++ b/meshd/meter.go
@@ -1,12 +1,15 @@
 package meshd
 
 import (
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"tanagershunt.example/shunt"
 )
 
 // Meter holds the counters and histograms of a node. A nil Meter counts nothing.
@@ -35,6 +38,15 @@
 	m.set.GetOrCreateCounter(`side_refusals_total{reason=` + strconv.Quote(reasonLabel(reason)) + `}`).Inc()
 }
 
+// countProbe counts a request that was let through although its route was expected to take too long.
+func (m *Meter) countProbe(res *inboundResult) {
+	result := "failed"
+	if res.outcome == shunt.AttemptAnswered && res.status < http.StatusInternalServerError {
+		result = "answered"
+	}
+	m.increment(`side_probes_total{result="` + result + `"}`)
+}
+
 // countRetry counts a retry that only the retry budget could prevent.
 func (m *Meter) countRetry(allowed bool) {
 	result := "denied"
--- a/meshd/routestats.go
+++ b/meshd/routestats.go
@@ -3,10 +3,12 @@
 import (
 	"sync"
 	"time"
+
+	"tanagershunt.example/shunt/sched"
 )
 
 const (
-	// meanWeight is the weight of one response in a moving mean.
+	// meanWeight is the weight of one response in a moving mean other than that of the latency.
 	meanWeight = 0.1
 	// routeOutcomeWeight is the weight of one response in the moving failure rate of a route.
 	routeOutcomeWeight = 0.04
@@ -25,8 +27,7 @@
 	}
 
 	routeStats struct {
-		latency       time.Duration
-		observedAt    time.Time // of the latest latency
+		latency       sched.Estimate
 		responseBytes int
 		failureRate   float64
 		nested        bool // servers call the route; kept with spillover only
@@ -37,16 +38,10 @@
 	}
 )
 
-func (t *routeStatsTable) observeLatency(route string, took time.Duration, now time.Time) {
+func (t *routeStatsTable) observeLatency(route string, o sched.Observation, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entry(route)
-	e.observedAt = now
-	if e.latency == 0 {
-		e.latency = took
-		return
-	}
-	e.latency += time.Duration(meanWeight * float64(took-e.latency))
+	t.entry(route).latency.Observe(o, now)
 }
 
 func (t *routeStatsTable) observeResponseBytes(route string, n int) {
@@ -114,23 +109,40 @@
 	return e
 }
 
-// expectedLatency returns the mean latency of a route, or defaultLatency without observations. Outbound passes it as
+// expectedLatency returns the mean latency of a route, or sched.DefaultWork without observations. Outbound passes it as
 // place.Request.Work, though it includes the queue and the network.
 func (t *routeStatsTable) expectedLatency(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.routes[route]; e != nil && e.latency > 0 {
-		return e.latency
+	if e := t.routes[route]; e != nil {
+		return e.latency.Mean()
 	}
-	return defaultLatency
+	return sched.DefaultWork
+}
+
+// expectWithin returns the latency to expect of a request that has the given time until its deadline, and whether it is a
+// probe, see sched.Estimate.
+func (t *routeStatsTable) expectWithin(
+	route string, left time.Duration, now time.Time,
+) (latency time.Duration, probe bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entry(route).latency.Expect(left, now)
+}
+
+// returnProbe takes back a probe that did not run.
+func (t *routeStatsTable) returnProbe(route string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entry(route).latency.ReturnProbe(now)
 }
 
 // sinceObserved returns the age of the latest observation in expectedLatency, or 0 without observations.
 func (t *routeStatsTable) sinceObserved(route string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.routes[route]; e != nil && !e.observedAt.IsZero() {
-		return now.Sub(e.observedAt)
+	if e := t.routes[route]; e != nil && !e.latency.ObservedAt().IsZero() {
+		return now.Sub(e.latency.ObservedAt())
 	}
 	return 0
 }
