Move the moving mean of package spill into a package of its own

Package spill had a mean whose observations lose weight with time. No change of behaviour: the golden file of spill.TestReplay is the same.

--- a/spill/load.go
+++ b/spill/load.go
@@ -1,8 +1,9 @@
 package spill
 
 import (
-	"math"
 	"time"
+
+	"tanagershunt.example/shunt/ewma"
 )
 
 const (
@@ -33,11 +34,7 @@
 		latency fastest
 	}
 
-	// mean is a moving mean whose observations lose weight with time.
-	mean struct {
-		value float64
-		at    time.Time
-	}
+	mean struct{ ewma.Mean }
 
 	// fastest keeps the shortest recent exchange.
 	fastest struct {
@@ -88,13 +85,13 @@
 }
 
 func (m *mean) observe(v float64, halfLife time.Duration, now time.Time) {
-	m.value += max(1-math.Exp2(-float64(now.Sub(m.at))/float64(halfLife)), minWeight) * (v - m.value)
-	m.at = now
+	m.Observe(v, minWeight, halfLife, now)
 }
 
 // known returns the mean, or false if the newest observation is too old to say anything.
 func (m *mean) known(now time.Time) (float64, bool) {
-	return m.value, !m.at.IsZero() && now.Sub(m.at) < forgetAfter
+	age, observed := m.Age(now)
+	return m.Value(), observed && age < forgetAfter
 }
 
 func (f *fastest) observe(d time.Duration, now time.Time) {
--- a/spill/rate.go
+++ b/spill/rate.go
@@ -271,8 +271,8 @@
 		rate += t.rate
 	}
 	s.share = 1
-	if s.requests.value > 0 {
-		s.share = min(rate/s.requests.value, 1)
+	if s.requests.Value() > 0 {
+		s.share = min(rate/s.requests.Value(), 1)
 	}
 	s.minValue = 0
 	if allowed := int(math.Ceil(shareMargin * s.share * float64(s.seen))); allowed < s.seen && allowed > 0 {
@@ -291,13 +291,13 @@
 		Share:      s.share,
 		MinValue:   s.minValue,
 		Part:       t.part,
-		Used:       s.home.used.value,
-		Missed:     s.home.missed.value,
-		RemoteUsed: t.used.value,
+		Used:       s.home.used.Value(),
+		Missed:     s.home.missed.Value(),
+		RemoteUsed: t.used.Value(),
 		Latency:    t.latency.get(),
 	}
-	if !t.used.at.IsZero() {
-		c.RemoteAge = now.Sub(t.used.at)
+	if age, observed := t.used.Age(now); observed {
+		c.RemoteAge = age
 	}
 	return c
 }
