Answer 503 when an upload is given up for lack of memory

Cause: an upload whose memory is given up is interrupted by a read deadline in the past. The read returned the error of the deadline, which counted as a malformed body. Between two reads the interruption had no effect: the upload was read to its end and sent on, and there was no memory left for the answer.

Change: quota.ReadAll returns ErrExhausted for a share that was given up and stops reading; readBody checks the share after the last read. The request is then refused with 503 and has not run.

--- a/meshd/body.go
+++ b/meshd/body.go
@@ -26,7 +26,7 @@
 	return quota.New(int64(bodyMemoryRatio * megabytes * (1 << 20)))
 }
 
-// readBody reads the body of a request. It is interrupted if the share is evicted.
+// readBody reads the body of a request. It is interrupted, and the error is quota.ErrExhausted, if the share is evicted.
 func readBody(w http.ResponseWriter, r *http.Request, share *quota.Share) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
@@ -35,6 +35,10 @@
 		// A writer without support for deadlines lets the read go on until the body ends.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 	})
-	defer share.EndRead()
-	return quota.ReadAll(r.Body, share, r.ContentLength, maxBodyBytes)
+	body, err := quota.ReadAll(r.Body, share, r.ContentLength, maxBodyBytes)
+	share.EndRead()
+	if lost := share.Err(); lost != nil {
+		return nil, lost // the share has no memory left for the response
+	}
+	return body, err
 }
--- a/quota/budget.go
+++ b/quota/budget.go
@@ -77,6 +77,19 @@
 	delete(s.budget.shares, s)
 }
 
+// Err returns ErrExhausted if the message was given up.
+func (s *Share) Err() error {
+	if s == nil {
+		return nil
+	}
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	if s.lost {
+		return ErrExhausted
+	}
+	return nil
+}
+
 // Grow adds a number of bytes. It returns ErrExhausted if the message must be given up: no larger one is being read.
 func (s *Share) Grow(n int64) error {
 	if s == nil {
--- a/quota/read.go
+++ b/quota/read.go
@@ -13,7 +13,8 @@
 
 // ReadAll reads a message to its end. Memory is taken from the share as the message arrives. Length is the announced
 // size, negative if there is none, and limit the maximum size, both in bytes. The error is ErrTooLarge, ErrExhausted,
-// io.ErrUnexpectedEOF for a message shorter than its length, or that of the source.
+// io.ErrUnexpectedEOF for a message shorter than its length, or that of the source. A share that was given up in the last
+// read does not fail it; see Share.Err.
 func ReadAll(src io.Reader, share *Share, length, limit int64) ([]byte, error) {
 	if length > limit {
 		return nil, ErrTooLarge
@@ -35,6 +36,9 @@
 			return nil, io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			return data, nil
+		case share.Err() != nil:
+			// The error of the source, if there is one, is that of the interruption.
+			return nil, share.Err()
 		case err != nil:
 			return nil, err
 		case len(data) < cap(data):
