Let what senders know of a server lose weight with age

Cause: the mean service time that a server's node reported, its long-term pace and its failure rate change only with answers to the sender's own requests, and a server with bad figures gets none. At the server's node the mean service times count answers, so that after a pause some 45 are needed to forget a slow period.

Change: a service time above that of an average server and the long-term pace approach the usual ones with half-lives of 10 s, the failure rate approaches 0 with 5 s. In the means of the server's node an answer weighs as much as the earlier ones have lost since the previous one (5 s).

--- a/meshd/attempt.go
+++ b/meshd/attempt.go
@@ -280,7 +280,7 @@
 		}).Info("node did not answer request")
 	}
 	if res.load != nil && res.load.routeWork > 0 {
-		usual := o.stats.observeWork(c.route.Name, res.load.routeWork)
+		usual := o.stats.observeWork(c.route.Name, res.load.routeWork, meshWorkHalfLife, end)
 		node.observeSlowness(float64(res.load.routeWork) / float64(usual))
 	}
 	if o.Spill != nil {
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -234,7 +234,7 @@
 			Took: took, Censored: res.status == http.StatusGatewayTimeout, Probe: probe,
 		}, in.Clock.Now())
 		if _, mean := in.Server.Pace(); mean > 0 {
-			in.stats.observeWork(c.route, took)
+			in.stats.observeWork(c.route, took, serverWorkHalfLife, in.Clock.Now())
 		}
 	}
 	if res.outcome == shunt.AttemptUnknown && ctx.Err() != nil {
--- a/meshd/peer.go
+++ b/meshd/peer.go
@@ -5,12 +5,16 @@
 	"sync/atomic"
 	"time"
 
+	"tanagershunt.example/shunt/ewma"
 	"tanagershunt.example/shunt/place"
 )
 
 const (
-	// peerOutcomeWeight is the weight of one outcome in the moving failure rate of a node.
-	peerOutcomeWeight = 0.1
+	// peerOutcomeWeight is the weight of one outcome in the moving failure rate of a node, and peerOutcomeHalfLife the age of
+	// the latest outcome at which the rate has half its value. Without outcomes nothing else corrects it, since a server with
+	// failures gets no requests while others have room.
+	peerOutcomeWeight   = 0.1
+	peerOutcomeHalfLife = 5 * time.Second
 	// A server counts as slow when this node has at least slowMinRequests requests pending there and their mean age
 	// exceeds slowFactor times the latency its node last reported; the mean age then replaces that latency.
 	slowFactor      = 4
@@ -36,9 +40,10 @@
 		lastRequest int
 		pace        place.Pace
 		slowness    float64 // see place.Candidate.Slowness
-		failureRate float64 // moving share of attempts that failed at the server
-		reached     bool    // an attempt or a connection has succeeded
-		unreachable bool    // the last attempt got no response, see call.attempt for the exceptions
+		failureRate float64 // moving share of attempts that failed at the server, at failureAt
+		failureAt   time.Time
+		reached     bool // an attempt or a connection has succeeded
+		unreachable bool // the last attempt got no response, see call.attempt for the exceptions
 		// unreachableSince is when the node became unreachable.
 		unreachableSince time.Time
 		pausedUntil      time.Time // no requests are sent before
@@ -141,7 +146,7 @@
 	}
 	c = place.Candidate{
 		Local: p.entry.Domain == domain, Slots: p.entry.Slots, Pending: len(p.pending),
-		Success: 1 - p.failureRate, Age: now.Sub(p.loadAt), ColdFor: max(p.coldUntil.Sub(now), 0),
+		Success: 1 - p.currentFailureRate(now), Age: now.Sub(p.loadAt), ColdFor: max(p.coldUntil.Sub(now), 0),
 	}
 	if !p.loadAt.IsZero() {
 		c.Running, c.Queued, c.Work = p.load.running, p.load.queued, p.load.latency
@@ -220,10 +225,16 @@
 	if failed {
 		outcome = 1
 	}
-	p.failureRate += peerOutcomeWeight * (outcome - p.failureRate)
+	rate := p.currentFailureRate(now)
+	p.failureRate, p.failureAt = rate+peerOutcomeWeight*(outcome-rate), now
 	return false
 }
 
+// currentFailureRate returns the failure rate with the decay since the latest outcome. The caller must hold the lock.
+func (p *peerNode) currentFailureRate(now time.Time) float64 {
+	return p.failureRate * ewma.Weight(now.Sub(p.failureAt), peerOutcomeHalfLife)
+}
+
 // observeSlowness records the server's usual service time relative to that of all servers for the same route.
 func (p *peerNode) observeSlowness(ratio float64) {
 	p.mu.Lock()
--- a/meshd/routestats.go
+++ b/meshd/routestats.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"tanagershunt.example/shunt/ewma"
 	"tanagershunt.example/shunt/sched"
 )
 
@@ -15,6 +16,10 @@
 	// workWeight is the weight of one response in the long-term mean of the service time, after the first responses,
 	// which have equal weights.
 	workWeight = 0.02
+	// serverWorkHalfLife is the age at which the earlier responses have half their weight in that mean at the server's node,
+	// and meshWorkHalfLife at a sender, whose mean is over all servers.
+	serverWorkHalfLife = 5 * time.Second
+	meshWorkHalfLife   = time.Minute
 )
 
 type (
@@ -33,7 +38,7 @@
 		nested        bool // servers call the route; kept with spillover only
 		// work is the long-term mean of the service time: in Inbound on the local backend server, in Outbound the mean
 		// over all servers at their usual pace. It is kept only for servers that tell a pace.
-		work      time.Duration
+		work      ewma.Mean
 		workCount int
 	}
 )
@@ -77,14 +82,15 @@
 }
 
 // observeWork records a service time and returns the long-term mean.
-func (t *routeStatsTable) observeWork(route string, took time.Duration) time.Duration {
+func (t *routeStatsTable) observeWork(
+	route string, took, halfLife time.Duration, now time.Time,
+) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(route)
 	e.workCount++
-	e.work += time.Duration(max(workWeight, 1/float64(e.workCount)) * float64(took-e.work))
-	e.work = max(e.work, 1)
-	return e.work
+	e.work.Observe(float64(max(took, 1)), max(workWeight, 1/float64(e.workCount)), halfLife, now)
+	return time.Duration(e.work.Value())
 }
 
 // usualWork returns the long-term mean of the service time, or 0 without observations.
@@ -92,7 +98,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.routes[route]; e != nil {
-		return e.work
+		return time.Duration(e.work.Value())
 	}
 	return 0
 }
--- a/meshd/state.go
+++ b/meshd/state.go
@@ -25,6 +25,7 @@
 )
 
 func (n *Node) state() stateDump {
+	now := n.clock.Now()
 	s := stateDump{MeshSummary: n.summary(), Settings: n.settings.Load()}
 	n.view.mu.RLock()
 	defer n.view.mu.RUnlock()
@@ -35,7 +36,7 @@
 			Running:   p.load.running,
 			Queued:    p.load.queued,
 			Mine:      len(p.pending),
-			Failing:   p.failureRate,
+			Failing:   p.currentFailureRate(now),
 			Until:     p.pausedUntil,
 		})
 		p.mu.Unlock()
--- a/place/choose.go
+++ b/place/choose.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"tanagershunt.example/shunt/ewma"
 )
 
 const (
@@ -13,6 +15,9 @@
 	// idleWeight is the weight, in recent reports, of the assumption that the servers of a side are idle. With few
 	// reports it prevails.
 	idleWeight = 4
+	// workHalfLife is the age of the latest report at which what it says of a slow server's service time has half its weight.
+	// A server that is left out because it was slow would otherwise never get the request that shows it is not.
+	workHalfLife = 10 * time.Second
 	// unknownWorkRatio is the service time assumed for a server without measurements, as a fraction of Request.Work. It
 	// is below 1 so that a new server gets requests and its service time can be measured.
 	unknownWorkRatio = 0.6
@@ -220,11 +225,21 @@
 		return pacedServiceTime(c, r)
 	}
 	if c.Work > 0 {
-		return c.Work
+		return agedWork(c, r)
 	}
 	return time.Duration(unknownWorkRatio * float64(r.Work))
 }
 
+// agedWork returns the mean service time that the server reported. Above that of an average server it approaches this with
+// the age of the report.
+func agedWork(c *Candidate, r *Request) time.Duration {
+	excess := c.Work - r.Work
+	if excess <= 0 || c.Age <= 0 {
+		return c.Work
+	}
+	return r.Work + time.Duration(float64(excess)*ewma.Weight(c.Age, workHalfLife))
+}
+
 func pacedServiceTime(c *Candidate, r *Request) time.Duration {
 	work := float64(r.Service) * float64(c.Pace)
 	if c.Slowness > 0 {
@@ -237,7 +252,7 @@
 // service time of the request itself differs from it.
 func queuedServiceTime(c *Candidate, r *Request) time.Duration {
 	if c.Pace > 0 && c.Work > 0 {
-		return c.Work
+		return agedWork(c, r)
 	}
 	return expectedServiceTime(c, r)
 }
--- a/place/golden_test.go
+++ b/place/golden_test.go
@@ -31,8 +31,8 @@
 	return c
 }
 
-// TestChooseWithoutPace guards against a change of placement where servers tell no pace: the choices for random inputs
-// are those recorded before the pace was introduced.
+// TestChooseWithoutPace guards against an unnoticed change of placement where servers tell no pace: the choices for random
+// inputs are those recorded.
 func TestChooseWithoutPace(t *testing.T) {
 	r := rand.New(rand.NewPCG(7, 11))
 	var out bytes.Buffer
--- a/place/pace.go
+++ b/place/pace.go
@@ -1,8 +1,9 @@
 package place
 
 import (
-	"math"
 	"time"
+
+	"tanagershunt.example/shunt/ewma"
 )
 
 const (
@@ -27,7 +28,7 @@
 		return
 	}
 	p.count++
-	weight := 1 - math.Exp2(-float64(now.Sub(p.at))/float64(meanPaceHalfLife))
+	weight := 1 - ewma.Weight(now.Sub(p.at), meanPaceHalfLife)
 	// The first paces have equal weights.
 	weight = max(weight, 1/float64(p.count))
 	p.mean += weight * (pace - p.mean)
@@ -39,14 +40,15 @@
 	*p = Pace{newest: pace, mean: mean, at: now, count: 1}
 }
 
-// Now returns the expected pace. It approaches the long-term mean with the age of the newest pace, and is 0 if there is
-// none.
+// Now returns the expected pace. It approaches the long-term mean with the age of the newest pace, and more slowly the usual
+// pace, 1, since the server may have been slow for long and then got no requests. It is 0 if there is none.
 func (p *Pace) Now(now time.Time) float64 {
 	if p.count == 0 {
 		return 0
 	}
-	age := max(now.Sub(p.at), 0)
-	return p.mean + (p.newest-p.mean)*math.Exp2(-float64(age)/float64(paceHalfLife))
+	age := now.Sub(p.at)
+	mean := 1 + float64((p.mean-1)*ewma.Weight(age, meanPaceHalfLife))
+	return mean + float64((p.newest-mean)*ewma.Weight(age, paceHalfLife))
 }
 
 // Mean returns the long-term mean of the pace, or 0 if there is none.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"tanagershunt.example/shunt"
+	"tanagershunt.example/shunt/ewma"
 	"tanagershunt.example/shunt/tenant"
 )
 
@@ -41,6 +42,10 @@
 	// service times; the margin of at least 3 above that makes it less likely that a single long request makes the
 	// server count as slow.
 	slowFactor = 4
+	// workWeight is the least weight of one service time in the mean, and workHalfLife the age at which the earlier ones have
+	// half their weight: a server that was slow and then got few requests must not count as slow for many more.
+	workWeight   = 0.05
+	workHalfLife = 5 * time.Second
 	// maxWaiting limits the queue length regardless of the expected work.
 	maxWaiting = 512
 )
@@ -92,9 +97,9 @@
 		startLimiter StartLimiter
 		timer        clockwork.Timer
 		timerAt      time.Time
-		meanWork     time.Duration // moving average of service times
-		rateLimited  bool          // a limit on starts was in force at the last dispatch
-		lateMisses   float64       // moving average: share of late requests that got no slot in time
+		meanWork     ewma.Mean // of service times, in nanoseconds
+		rateLimited  bool      // a limit on starts was in force at the last dispatch
+		lateMisses   float64   // moving average: share of late requests that got no slot in time
 	}
 
 	// Waiter is a queued or running request.
@@ -220,7 +225,6 @@
 // Release releases the slot of a request and dispatches the next one. A duration of zero is not counted in the mean
 // service time, and such a request counts as not sent unless MarkSent was called.
 func (q *Queue) Release(w *Waiter, took time.Duration) {
-	const weight = 0.05
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock().Now()
@@ -235,12 +239,8 @@
 	default:
 		q.startLimiter.Cancel()
 	}
-	switch {
-	case took <= 0:
-	case q.meanWork == 0:
-		q.meanWork = took
-	default:
-		q.meanWork += time.Duration(weight * float64(took-q.meanWork))
+	if took > 0 {
+		q.meanWork.Observe(float64(took), workWeight, workHalfLife, now)
 	}
 	if len(q.waiting) == 0 {
 		q.recordLate(false)
@@ -316,19 +316,22 @@
 // slow or hangs.
 func (q *Queue) serviceTime(now time.Time) time.Duration {
 	if len(q.running) == 0 || len(q.running) < q.limit {
-		return q.meanWork
+		return q.completedWork()
 	}
 	var age time.Duration
 	for _, since := range q.running {
 		age += now.Sub(since)
 	}
 	age /= time.Duration(len(q.running))
-	if age > slowFactor*q.meanWork {
-		return age
+	if work := q.completedWork(); age <= slowFactor*work {
+		return work
 	}
-	return q.meanWork
+	return age
 }
 
+// completedWork returns the mean service time of completed requests.
+func (q *Queue) completedWork() time.Duration { return time.Duration(q.meanWork.Value()) }
+
 // dispatch refuses waiting requests that can no longer be served and starts others, in order, while slots are free.
 func (q *Queue) dispatch(now time.Time) {
 	q.refuseUnservable(now)
@@ -405,7 +408,7 @@
 		unservable := blocked && !q.startLimiter.expiresBefore(now, w.Deadline.Add(-requiredTime(w.Work)))
 		if !w.Nested && !w.canMeetTarget(now) && unservable && (q.lateStarved() || now.After(w.holdUntil)) {
 			q.recordLate(true)
-			q.resolve(now, w, &Refusal{Reason: ReasonStarved, Wait: q.meanWork})
+			q.resolve(now, w, &Refusal{Reason: ReasonStarved, Wait: q.completedWork()})
 			continue
 		}
 		kept = append(kept, w)
