Count a request at a cold server from the end of its write

Cause, by reading: a request counted from the moment before it was written. If the process is paused in between, it arrives together with later ones.

Change: conns.Request.Written is called when the header has been written, and the request counts until then and for a second after it. The usage of a tenant still begins before the write.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -39,6 +39,9 @@
 		ID string
 		// Writing is called when a connection is available, before the request is written to it. It may be nil.
 		Writing func()
+		// Written is called when the header has been written, with a small body. Until then the process may be paused
+		// without the peer having received anything. It may be nil.
+		Written func()
 		// Share is the memory for the response's body; nil for no limit besides Limit.
 		Share *quota.Share
 		// NeedLength rejects a response without a length: the peer always announces it, so the response is incomplete.
@@ -159,6 +162,9 @@
 		data = append(data, r.Body...)
 	}
 	n, err := e.c.Write(data)
+	if n > 0 && r.Written != nil {
+		r.Written()
+	}
 	if err != nil {
 		return n > 0, err
 	}
--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -52,6 +52,9 @@
 		stats   routeStatsTable
 		callers callerStats
 	}
+
+	// sendHooks are called while a request is written to the server, see conns.Request.
+	sendHooks struct{ writing, written func() }
 )
 
 func (in *Inbound) admission() params.Admission {
@@ -220,9 +223,9 @@
 	}
 	sent, cold := in.Clock.Now(), in.Server.ColdRemaining() > 0
 	notRun := func() {}
-	res := in.send(ctx, c, body, c.timeout-sent.Sub(arrived), func() {
-		in.Queue.MarkSent(waiter)
-		notRun = in.usage.begin(c.tenant)
+	res := in.send(ctx, c, body, c.timeout-sent.Sub(arrived), sendHooks{
+		writing: func() { notRun = in.usage.begin(c.tenant) },
+		written: func() { in.Queue.MarkSent(waiter) },
 	})
 	if res.outcome == shunt.AttemptNotRun {
 		notRun()
@@ -259,9 +262,9 @@
 	return end.Sub(in.Clock.Now())
 }
 
-// send forwards the request to the server and reads the whole response. It calls writing before it writes the request.
+// send forwards the request to the server and reads the whole response.
 func (in *Inbound) send(
-	ctx context.Context, c *inboundCall, body []byte, timeout time.Duration, writing func(),
+	ctx context.Context, c *inboundCall, body []byte, timeout time.Duration, hooks sendHooks,
 ) *inboundResult {
 	if !c.terms.repeatable {
 		ctx = context.WithoutCancel(ctx)
@@ -276,7 +279,7 @@
 	})
 	req := &conns.Request{
 		Method: c.method, URI: c.uri, Host: c.host, Header: h, Body: body, Limit: maxResponseBytes,
-		ID: c.id, Share: c.share, Writing: writing,
+		ID: c.id, Share: c.share, Writing: hooks.writing, Written: hooks.written,
 		Own: func(status int, h http.Header) bool { return in.Codec.ParseServerResponse(status, h).ID == c.id },
 	}
 	if !c.terms.repeatable {
--- a/meshd/recovery_test.go
+++ b/meshd/recovery_test.go
@@ -199,8 +199,14 @@
 		} {
 			r.load = load
 			if share := r.run(); share < least {
-				t.Errorf("load %.1f, slowness %.0f, %.0f%% of its requests failed, pace told %v: server gets %.3f of the requests",
-					load, r.slowness, 100*r.failing, r.tellsPace, share)
+				t.Errorf(
+					"load %.1f, slowness %.0f, %.0f%% of its requests failed, pace told %v: server gets %.3f of the requests",
+					load,
+					r.slowness,
+					100*r.failing,
+					r.tellsPace,
+					share,
+				)
 			}
 		}
 	}
--- a/meshd/slowroute_test.go
+++ b/meshd/slowroute_test.go
@@ -1,6 +1,8 @@
 package meshd
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -126,3 +128,61 @@
 		t.Errorf("%d of 40 requests served beside those to another route, want 30", served)
 	}
 }
+
+// pausingConn is a connection whose process is paused before some writes.
+type pausingConn struct {
+	net.Conn
+	beforeWrite func()
+}
+
+func (c pausingConn) Write(p []byte) (int, error) {
+	c.beforeWrite()
+	return c.Conn.Write(p)
+}
+
+// TestColdRateOfPausedWrites guards against more requests in a second at a cold server than it may get: a request counted
+// from the moment before it was written, and the process was paused in between, so that it arrived together with later ones.
+func TestColdRateOfPausedWrites(t *testing.T) {
+	const (
+		perSecond = 10
+		cold      = 20 * time.Second
+		pause     = 300 * time.Millisecond // before one write in twelve
+	)
+	s := newSlowServer(t)
+	s.timeout = time.Second
+	written := 0
+	var arrivals []time.Time
+	s.inbound.Pool = conns.New(conns.Options{
+		Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			return pausingConn{c, func() {
+				if written++; written%12 == 0 {
+					s.clock.Advance(pause)
+				}
+				arrivals = append(arrivals, s.clock.Now())
+			}}, err
+		},
+	})
+	began := s.clock.Now()
+	s.inbound.Queue.SetStartRate(perSecond, began.Add(cold))
+	for s.clock.Since(began) < cold {
+		s.inbound.admit(t.Context(), &inboundCall{
+			method: http.MethodGet, uri: "/", host: "x", header: make(http.Header), route: "r", server: "i-2",
+			body: func() ([]byte, error) { return nil, nil }, timeout: s.timeout,
+			terms: terms{repeatable: true, latencyTarget: s.timeout, maxWait: time.Millisecond},
+		})
+		s.clock.Advance(10 * time.Millisecond)
+	}
+	for i, at := range arrivals {
+		n := 1
+		for n < len(arrivals)-i && arrivals[i+n].Sub(at) < time.Second {
+			n++
+		}
+		if n > perSecond {
+			t.Fatalf("%d requests arrived in the second from %s, want %d at most", n, at.Sub(began), perSecond)
+		}
+	}
+	if least := int(0.5 * perSecond * cold.Seconds()); len(arrivals) < least {
+		t.Errorf("%d requests arrived, want %d at least", len(arrivals), least)
+	}
+}
