Wait for the timers before TestReadAfterPause advances its clock

Cause: it advances a fake clock once, and a read of the store is watched by a ticker of that clock, which its goroutine creates after the read has begun. If the goroutine comes late, the ticker begins after the advance and never fires.

The test now waits until all six timers exist. The bound is unchanged.

--- a/meshd/resume_test.go
+++ b/meshd/resume_test.go
@@ -1,6 +1,7 @@
 package meshd
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -11,6 +12,9 @@
 	"tanagershunt.example/shunt"
 )
 
+// timersOfSync is the number of timers of a StateSync that waits for records of both topics.
+const timersOfSync = 6
+
 // keyCodec reads the key from the header Key.
 type keyCodec struct{ fakeHeaderCodec }
 
@@ -128,6 +132,12 @@
 		defer store.mu.Unlock()
 		return s.View.Table() != nil && store.reads >= 4
 	})
+	// The reads are watched by tickers of the clock, which is advanced only once: they must exist before.
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := c.BlockUntilContext(ctx, timersOfSync); err != nil {
+		t.Fatalf("fewer than %d timers wait: %v", timersOfSync, err)
+	}
 	c.Advance(time.Millisecond)
 	s.View.resume.mu.Lock()
 	s.View.resume.last = c.Now().Add(-time.Minute)
