--- a/sched/estimate.go
+++ b/sched/estimate.go
@@ -70,6 +70,7 @@
 	e.observedAt, e.excludedSince = now, time.Time{}
 	switch {
 	case o.Censored && o.Took < e.mean:
+		// The work takes longer than Took, which does not contradict the mean.
 	case e.mean == 0, o.Probe && o.Took < e.mean:
 		e.mean = o.Took
 	default:
