Ignore late reports of a server that left before its first report

Cause: the node recorded the start time of the last report as departed, not the later one in the deregistration. The log told this from a deregistration that is ignored and from other nodes with an older entry: "deregistered" has the later start, and "state changed" follows with the same start and sequence 1. Deregistrations of other servers and ignored reports left no line; they do now.

Change: a departure covers the later of both start times and does not go back when deregistrations are reordered. The node's entry names it, and that of a server with another identifier that left unseen, so that a restarted node knows them. A deregistration without a start time covers servers that may have started by then for as long as a report may be late.

--- a/meshd/record.go
+++ b/meshd/record.go
@@ -55,10 +55,13 @@
 	Slots     int    `json:"slots"`
 	Leaving   bool   `json:"leaving,omitempty"`
 	Departed  bool   `json:"departed,omitempty"` // the server has deregistered, so that any report of it is a delayed one
-	ColdMS    int64  `json:"coldMs,omitempty"`
-	Started   int64  `json:"started"` // start of the node, nanoseconds since the epoch
-	Stopping  bool   `json:"stopping,omitempty"`
-	Written   int64  `json:"written,omitempty"` // number of the entry among those of its process, from 1 on
+	// Unseen and UnseenBorn name a later server that has deregistered before any report of it arrived.
+	Unseen     string `json:"unseen,omitempty"`
+	UnseenBorn int64  `json:"unseenBorn,omitempty"`
+	ColdMS     int64  `json:"coldMs,omitempty"`
+	Started    int64  `json:"started"` // start of the node, nanoseconds since the epoch
+	Stopping   bool   `json:"stopping,omitempty"`
+	Written    int64  `json:"written,omitempty"` // number of the entry among those of its process, from 1 on
 }
 
 // isOlder reports whether the entry was written before another one of the same node. The store may do a write that got no
@@ -102,7 +105,11 @@
 		}
 	}
 	for _, f := range []struct{ name, value string }{
-		{"failure domain", e.Domain}, {"service", e.Service}, {"server", e.Server}, {"version", e.Version},
+		{"failure domain", e.Domain},
+		{"service", e.Service},
+		{"server", e.Server},
+		{"version", e.Version},
+		{"departed server", e.Unseen},
 	} {
 		if err := checkName(f.name, f.value); err != nil {
 			return e, err
@@ -118,6 +125,7 @@
 		{"cold time", e.ColdMS, maxColdTime.Milliseconds()},
 		{"sequence", e.Sequence, maxOffset},
 		{"start of the server", e.Born, latest.UnixMilli()},
+		{"start of the departed server", e.UnseenBorn, latest.UnixMilli()},
 		{"start of the version", e.Since, latest.UnixMilli()},
 		{"start of the node", e.Started, latest.UnixNano()},
 		{"number", e.Written, maxOffset},
--- a/meshd/server.go
+++ b/meshd/server.go
@@ -31,8 +31,11 @@
 	// defaultColdRate is the rate, in requests per second, of a cold or unverified server while no configuration of its
 	// service is known.
 	defaultColdRate = 10
-	// clockStepMargin is how far the clock may step back between the end of a server and the start of the next one.
+	// clockStepMargin is how far the clock may step back between the end of a server and the start of the next one, if the
+	// server did not tell its start time when it deregistered.
 	clockStepMargin = 5 * time.Second
+	// maxReportDelay is how late a report of a server may arrive.
+	maxReportDelay = 10 * time.Second
 	// usedColdRateShare is the share of a cold server's allowed rate that is used. The rest allows for jitter: the
 	// rate is measured when requests arrive at the server, while the node limits it when it sends them.
 	usedColdRateShare = 0.93
@@ -62,7 +65,23 @@
 		confirmSentAt    time.Time
 		leavingSince     time.Time
 		pace             place.Pace
-		departed         map[string]int64 // start times of servers that have left, or later ones, by identifier
+		departed         map[string]departure // by identifier
+		// unseen is the last server that has deregistered before any report of it arrived.
+		unseen departedServer
+	}
+
+	// departure is what is known of the servers that have deregistered under an identifier.
+	departure struct {
+		born int64 // latest start time that is known of them
+		// undatedAt is when a deregistration without a start time arrived, in milliseconds since the epoch, 0 if none did.
+		undatedAt    int64
+		undatedUntil time.Time // until when reports of servers that had started by then are ignored
+	}
+
+	// departedServer names a server that has deregistered.
+	departedServer struct {
+		id   string
+		born int64
 	}
 )
 
@@ -77,7 +96,7 @@
 	q.Close()
 	return &Server{
 		clock: c, queue: q, spec: spec, service: service, address: address,
-		notify: func(bool) {}, confirm: func() {}, departed: make(map[string]int64),
+		notify: func(bool) {}, confirm: func() {}, departed: make(map[string]departure),
 	}
 }
 
@@ -109,13 +128,29 @@
 }
 
 // Published returns the state of the server that is published, and whether it has deregistered. An earlier process of the
-// node may have stored it: what is known of a server that is not there orders its delayed reports.
+// node may have stored it: what is known of a server that is not there orders its delayed reports. The start time is that
+// of the last server that has deregistered under the identifier, if that is later.
 func (s *Server) Published() (r shunt.ServerReport, departed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r = s.report
 	r.Leaving = r.Leaving || s.replaced
-	return r, r.ID != "" && s.hasDeparted(r)
+	departed = r.ID != "" && s.hasDeparted(r)
+	if departed {
+		r.Born = max(r.Born, s.departed[r.ID].born)
+	}
+	return r, departed
+}
+
+// publishedUnseen returns the last server that has deregistered before any report of it arrived, unless reports of it are
+// older than that of the current server and ignored for that.
+func (s *Server) publishedUnseen() departedServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unseen.id == s.report.ID || s.unseen.born < s.report.Born {
+		return departedServer{}
+	}
+	return s.unseen
 }
 
 // Address returns the address of the server.
@@ -140,7 +175,12 @@
 		return fmt.Errorf("server %s of service %s at %s is not the one beside this node", r.ID, r.Service, r.Address)
 	}
 	if !s.isNewer(r) {
+		fields := log.Fields{
+			"server": r.ID, "born": r.Born, "sequence": r.Sequence, "leaving": r.Leaving, "departed": s.hasDeparted(r),
+			"known_server": s.report.ID, "known_born": s.report.Born, "known_sequence": s.report.Sequence,
+		}
 		s.mu.Unlock()
+		log.WithFields(fields).Info("delayed report of a backend server ignored")
 		return nil
 	}
 	changed, urgent := s.acceptReport(r)
@@ -158,8 +198,24 @@
 
 // hasDeparted reports whether the server of a report has deregistered.
 func (s *Server) hasDeparted(r shunt.ServerReport) bool {
-	born, ok := s.departed[r.ID]
-	return ok && r.Born <= born
+	d, ok := s.departed[r.ID]
+	return ok && d.includes(r.Born, s.clock.Now())
+}
+
+// includes reports whether the departure is that of a server with the given start time or of a later one. Without a start
+// time it may be that of any server that had started by then. Since the clock may have stepped, the doubtful ones are
+// excluded only for as long as their reports may be delayed: a server that runs goes on reporting.
+func (d departure) includes(born int64, now time.Time) bool {
+	return born <= d.born || born <= d.undatedAt-clockStepMargin.Milliseconds() ||
+		born <= d.undatedAt && now.Before(d.undatedUntil)
+}
+
+// markDeparted records that the server with the given start time has deregistered. Deregistrations may be reordered, so an
+// earlier one does not replace a later one. The caller must hold the lock.
+func (s *Server) markDeparted(id string, born int64) {
+	d := s.departed[id]
+	d.born = max(d.born, born)
+	s.departed[id] = d
 }
 
 // isLater reports whether a report was made after the last one. Reports of the same server are ordered by sequence, and
@@ -203,31 +259,52 @@
 }
 
 // HandleDeregistration handles the deregistration of a server. The server still gets requests until it has been
-// leaving for leavingGrace. Delayed reports of it are ignored.
+// leaving for leavingGrace. Delayed reports of it are ignored, also if it started after the last one that arrived.
 func (s *Server) HandleDeregistration(id string, born int64) {
 	s.mu.Lock()
-	if s.report.ID != id || born != 0 && born < s.report.Born {
-		if born == 0 {
-			// A server that started later is another one. The margin allows for steps of the clock.
-			born = s.clock.Now().Add(-clockStepMargin).UnixMilli()
-		}
-		s.departed[id] = born
-		s.mu.Unlock()
-		return
+	now := s.clock.Now()
+	s.markDeparted(id, born)
+	if born == 0 {
+		d := s.departed[id]
+		d.undatedAt, d.undatedUntil = now.UnixMilli(), now.Add(maxReportDelay)
+		s.departed[id] = d
 	}
-	s.departed[id] = s.report.Born
-	changed := !s.report.Leaving
-	if changed {
-		s.report.Leaving, s.leavingSince = true, s.clock.Now()
+	fields := log.Fields{"server": id, "born": born, "known_server": s.report.ID, "known_born": s.report.Born}
+	current := s.report.ID == id && (born == 0 || born >= s.report.Born)
+	var changed bool
+	switch {
+	case current:
+		s.markDeparted(id, s.report.Born)
+		changed = !s.report.Leaving || born > s.report.Born
+		if !s.report.Leaving {
+			s.report.Leaving, s.leavingSince = true, now
+		}
+	case s.report.ID != id && born > max(s.report.Born, s.unseen.born):
+		s.unseen = departedServer{id, born}
+		changed = true
 	}
 	s.mu.Unlock()
-	log.WithFields(log.Fields{"server": id, "born": born}).Info("backend server deregistered")
+	fields["current"] = current
+	log.WithFields(fields).Info("backend server deregistered")
 	s.updateQueue()
 	if changed {
 		s.notify(true)
 	}
 }
 
+// recallEntry takes over what the node knew of its server before it restarted, from its stored entry.
+func (s *Server) recallEntry(e nodeEntry) {
+	if e.Unseen != "" {
+		s.mu.Lock()
+		s.markDeparted(e.Unseen, e.UnseenBorn)
+		if e.UnseenBorn > s.unseen.born {
+			s.unseen = departedServer{e.Unseen, e.UnseenBorn}
+		}
+		s.mu.Unlock()
+	}
+	s.Recall(e.serverReport(), e.Departed)
+}
+
 // Recall takes over what the node knew of its server before it restarted, from its stored entry: delayed reports that the
 // earlier process would have ignored are ignored as well, above all those of a server that has deregistered. The server
 // gets no requests before it reports or Restore is called. A report that was accepted in the meantime stays if it is later.
@@ -237,15 +314,16 @@
 		s.mu.Unlock()
 		return
 	}
-	if departed {
-		s.departed[r.ID] = max(s.departed[r.ID], r.Born)
-	}
 	deregistered := !r.Leaving && s.hasDeparted(r)
+	if departed || deregistered {
+		s.markDeparted(r.ID, r.Born)
+	}
 	r.Address, r.Leaving = s.address, r.Leaving || deregistered
 	accepted, unconfirmed, replaced := s.report, s.unconfirmed, s.replaced
 	s.report, s.unconfirmed, s.replaced = r, true, false
 	sameServer := accepted.ID == r.ID && accepted.Born == r.Born
-	recalled := accepted.ID == "" || !s.isLater(accepted) || sameServer && s.hasDeparted(r)
+	recalled := accepted.ID == "" || !s.isLater(accepted) || sameServer && s.hasDeparted(r) ||
+		!accepted.Leaving && s.hasDeparted(accepted)
 	if !recalled {
 		s.report, s.unconfirmed, s.replaced = accepted, unconfirmed, replaced
 	}
--- a/meshd/sync.go
+++ b/meshd/sync.go
@@ -343,6 +343,7 @@
 
 func (s *StateSync) ownEntry() nodeEntry {
 	r, departed := s.Server.Published()
+	unseen := s.Server.publishedUnseen()
 	s.mu.Lock()
 	stopping, started, written := s.stopping, s.startedAt(), s.written
 	s.mu.Unlock()
@@ -352,24 +353,26 @@
 		since = min(since, prev.Since)
 	}
 	return nodeEntry{
-		Calls:     s.Self,
-		Control:   s.Control,
-		Operators: s.Operators,
-		Link:      s.Link,
-		Domain:    s.Domain,
-		Service:   r.Service,
-		Server:    r.ID,
-		Born:      r.Born,
-		Sequence:  r.Sequence,
-		Version:   r.Version,
-		Since:     since,
-		Slots:     r.Slots,
-		Leaving:   r.Leaving,
-		Departed:  departed,
-		ColdMS:    s.Server.ColdRemaining().Milliseconds(),
-		Started:   started,
-		Stopping:  stopping,
-		Written:   written,
+		Calls:      s.Self,
+		Control:    s.Control,
+		Operators:  s.Operators,
+		Link:       s.Link,
+		Domain:     s.Domain,
+		Service:    r.Service,
+		Server:     r.ID,
+		Born:       r.Born,
+		Sequence:   r.Sequence,
+		Version:    r.Version,
+		Since:      since,
+		Slots:      r.Slots,
+		Leaving:    r.Leaving,
+		Departed:   departed,
+		Unseen:     unseen.id,
+		UnseenBorn: unseen.born,
+		ColdMS:     s.Server.ColdRemaining().Milliseconds(),
+		Started:    started,
+		Stopping:   stopping,
+		Written:    written,
 	}
 }
 
@@ -461,7 +464,7 @@
 // recallServer gives the server's state the entry that an earlier process of this node has stored.
 func (s *StateSync) recallServer() {
 	if e, ok := s.View.lookupEntry(s.Self); ok {
-		s.Server.Recall(e.serverReport(), e.Departed)
+		s.Server.recallEntry(e)
 	}
 }
 
