End waiting calls of the feed when a node stops

Cause: the stop waits for the calls at the feed, and calls of other nodes wait there for up to 2 s for new records (peer.Server.Close demands that services with blocking methods are stopped first). Ruled out by the log: the listeners closed in time, only "node stopped" came late.

Change: the feed has a stop that ends its waiting calls with an error; other nodes go on with another feed, as after any failed call.

TestFollowEndsAtStop needs the new method, so it does not compile before.

--- a/meshd/feed.go
+++ b/meshd/feed.go
@@ -52,6 +52,9 @@
 		view  *MeshView
 		usage *usageNode // nil if no usage is reported
 
+		stopOnce sync.Once
+		stopped  chan struct{} // closed when the node stops
+
 		mu     sync.Mutex
 		topics map[string]*feedTopic
 	}
@@ -116,9 +119,12 @@
 )
 
 func newFeed(c clockwork.Clock, view *MeshView) *Feed {
-	return &Feed{clock: c, view: view, topics: make(map[string]*feedTopic)}
+	return &Feed{clock: c, view: view, topics: make(map[string]*feedTopic), stopped: make(chan struct{})}
 }
 
+// stop ends the calls of Follow that wait for records. It may be called more than once.
+func (f *Feed) stop() { f.stopOnce.Do(func() { close(f.stopped) }) }
+
 // Follow returns the records of a topic from args.From on. If there are none, it waits for some up to args.Wait, and
 // may return none. It fails if this node has not read the topic up to args.From by then.
 func (f *Feed) Follow(args FeedArgs, reply *FeedReply) error {
@@ -141,6 +147,8 @@
 				continue
 			case <-deadline:
 				return errFeedStoreLost
+			case <-f.stopped:
+				return errNodeStopping
 			}
 		}
 		if !t.current {
@@ -159,6 +167,8 @@
 		}
 		select {
 		case <-changed:
+		case <-f.stopped:
+			return errNodeStopping
 		case <-deadline:
 			if args.From > reply.Next || args.Era > reply.Era && reply.Era > 0 {
 				return errFeedBehind
--- a/meshd/feed_test.go
+++ b/meshd/feed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -226,3 +227,25 @@
 		t.Errorf("unpacked %d records, error %v", len(got), err)
 	}
 }
+
+// TestFollowEndsAtStop guards against a node that stops later than it should, since other nodes wait at its feed: the stop
+// waits for their calls.
+func TestFollowEndsAtStop(t *testing.T) {
+	for _, read := range []bool{false, true} {
+		feed := newFeed(clockwork.NewFakeClock(), NewMeshView(clockwork.NewFakeClock()))
+		if read {
+			feed.add("t", topicRead{next: position(7), whole: true})
+		}
+		done := make(chan error, 1)
+		go func() { done <- feed.Follow(FeedArgs{Topic: "t", From: 7, Wait: time.Minute}, &FeedReply{}) }()
+		feed.stop()
+		select {
+		case err := <-done:
+			if err == nil {
+				t.Errorf("topic read %v: the call ended without an error", read)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("topic read %v: the call goes on after the stop", read)
+		}
+	}
+}
--- a/meshd/node.go
+++ b/meshd/node.go
@@ -411,6 +411,7 @@
 	wg.Wait()
 	n.feed.usage.flush(ctx)
 	n.cancel()
+	n.feed.stop()
 	n.rpc.Close()
 	log.WithField("took", n.clock.Since(started)).Info("node stopped")
 	return nil
@@ -432,6 +433,7 @@
 			log.WithError(err).Warn("cannot close listener")
 		}
 	}
+	n.feed.stop()
 	n.rpc.Close()
 	n.wg.Wait()
 }
