Let work end up to the last sixth of the grace period when a node stops

Cause: requests ended 0.1 s before connections closed, and these closed 1 s before the end, which is the last sixth already. All times were constants, so that a grace period of 2 s ended before the notice of 2.8 s did. The log ruled out the route's and the caller's deadlines (left=2.8s, all twelve within 1 ms) and the servers' nodes (nothing logged). It did not name the stop; the reason of such a 504 does now.

Change: one schedule, in which all that ends requests lies within the last sixth of the grace period, or the last second if that is shorter, and the notice takes at most half of it.

--- a/meshd/node.go
+++ b/meshd/node.go
@@ -28,14 +28,6 @@
 	// exceeds the idle time that configurations allow callers, so that no connection is closed while its caller may
 	// still use it.
 	inboundIdleTimeout = 2 * time.Minute
-	// shutdownNotice is how long a stopping node continues to accept requests of callers. In this time their readiness
-	// checks, one second apart, see it as not ready twice.
-	shutdownNotice = 2800 * time.Millisecond
-	// peerNoticeLead is the time before the end of shutdownNotice at which other nodes are notified. Until this
-	// notice, other nodes keep sending requests to the local backend server.
-	peerNoticeLead = 700 * time.Millisecond
-	// shutdownMargin is the part of the grace period reserved for the exit of the process.
-	shutdownMargin = time.Second
 	// peerDialTimeout bounds dialing another node. Round trips between nodes take a few milliseconds, and a request
 	// with 300 ms left must still have time for another node.
 	peerDialTimeout = 150 * time.Millisecond
@@ -378,25 +370,40 @@
 	log.WithField("service", s.Service).Info("settings reloaded")
 }
 
-// Stop shuts the node down gracefully. The node reports not ready and continues to serve callers for shutdownNotice,
-// notifies other nodes peerNoticeLead before the end of that time, and then completes the requests in flight. Those that
-// last too long get an answer of the node's own before the connections close.
+// Stop shuts the node down gracefully, see stopSchedule. The node reports not ready, continues to serve callers, notifies
+// other nodes, and then completes the requests in flight. Those that last too long get an answer of the node's own before
+// the connections close.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	started := n.clock.Now()
-	grace := seconds(n.settings.Load().Bounds.Grace) - shutdownMargin
-	log.WithField("grace", grace).Info("node stopping")
-	answerAt := started.Add(grace - stopAnswerMargin)
-	n.stop.set(answerAt)
+	grace := seconds(n.settings.Load().Bounds.Grace)
+	schedule := newStopSchedule(grace)
+	log.WithFields(log.Fields{"grace": grace, "answer": schedule.answer, "close": schedule.closeConns}).
+		Info("node stopping")
+	n.stop.set(started.Add(schedule.answer))
+	answer := n.clock.AfterFunc(schedule.answer, n.stop.reach)
+	defer answer.Stop()
 	n.callerHandler.closing.Store(true)
-	n.waitUntil(ctx, started.Add(shutdownNotice-peerNoticeLead))
+	n.waitUntil(ctx, started.Add(schedule.peerNotice))
 	n.duties.stop()
 	n.sync.PublishStopping()
-	n.waitUntil(ctx, started.Add(shutdownNotice))
-	ctx, cancel := context.WithTimeout(ctx, grace-n.clock.Since(started))
+	n.waitUntil(ctx, started.Add(schedule.notice))
+	n.shutdownListeners(ctx, schedule.closeConns-n.clock.Since(started))
+	flush, cancel := context.WithTimeout(ctx, schedule.exit-n.clock.Since(started))
+	defer cancel()
+	n.feed.usage.flush(flush)
+	n.cancel()
+	n.feed.stop()
+	n.rpc.Close()
+	log.WithField("took", n.clock.Since(started)).Info("node stopped")
+	return nil
+}
+
+// shutdownListeners closes the listeners and waits for the requests in flight. After the timeout it closes their
+// connections.
+func (n *Node) shutdownListeners(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	answer := n.clock.AfterFunc(answerAt.Sub(n.clock.Now()), n.stop.reach)
-	defer answer.Stop()
 	var wg sync.WaitGroup
 	for _, srv := range n.httpServers {
 		wg.Go(func() {
@@ -409,12 +416,6 @@
 		})
 	}
 	wg.Wait()
-	n.feed.usage.flush(ctx)
-	n.cancel()
-	n.feed.stop()
-	n.rpc.Close()
-	log.WithField("took", n.clock.Since(started)).Info("node stopped")
-	return nil
 }
 
 // waitUntil waits until the given time or until ctx ends.
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -276,10 +276,13 @@
 		o.refuse(w, c.id, status, res.reason, c.retryAfter(res))
 	case ctx.Err() != nil:
 		status = http.StatusGatewayTimeout
-		o.refuse(w, c.id, status, res.reason, 0)
+		if errors.Is(context.Cause(ctx), errNodeStopping) {
+			reason = errNodeStopping.Error() + ": " + reason
+		}
+		o.refuse(w, c.id, status, reason, 0)
 	default:
 		status = http.StatusBadGateway
-		o.refuse(w, c.id, status, res.reason, 0)
+		o.refuse(w, c.id, status, reason, 0)
 	}
 	if status >= http.StatusInternalServerError {
 		c.recordFailure()
--- a/meshd/stop.go
+++ b/meshd/stop.go
@@ -8,9 +8,22 @@
 )
 
 const (
-	// stopAnswerMargin is the time before a stopping node closes its connections at which requests still in progress get
-	// the node's own answer.
-	stopAnswerMargin = 100 * time.Millisecond
+	// shutdownNotice is how long a stopping node continues to accept requests of callers, at most shutdownNoticeShare of
+	// the grace period. In this time their readiness checks, one second apart, see it as not ready twice.
+	shutdownNotice      = 2800 * time.Millisecond
+	shutdownNoticeShare = 0.5
+	// peerNoticeShare is the part of the notice after which other nodes are notified. Until then, they keep sending requests
+	// to the local backend server.
+	peerNoticeShare = 0.75
+	// shutdownMargin is the part of the grace period reserved for the end of the stop, at most shutdownMarginShare of it:
+	// work that servers complete before the last sixth of the grace period must reach its callers.
+	shutdownMargin      = time.Second
+	shutdownMarginShare = 1.0 / 6
+	// answerShare, closeShare and exitShare are the parts of the margin at which requests still in progress get the node's
+	// own answer, at which connections close, and at which the last messages to other nodes end.
+	answerShare = 0.25
+	closeShare  = 0.5
+	exitShare   = 0.75
 	// A request that may outlast the stop of its node is accepted if the time left is at least this multiple of its
 	// expected duration. Requests that must not be repeated have no second chance elsewhere once a server has them.
 	repeatableStopFactor    = 2
@@ -19,6 +32,30 @@
 
 var errNodeStopping = errors.New("node is stopping")
 
+// stopSchedule holds the times of a stop, as durations from its begin.
+type stopSchedule struct {
+	peerNotice time.Duration // other nodes are notified
+	notice     time.Duration // listeners close
+	answer     time.Duration // requests in progress get the node's own answer
+	closeConns time.Duration
+	exit       time.Duration // last messages to other nodes end
+}
+
+// newStopSchedule returns the schedule for a grace period, after which the process is killed.
+func newStopSchedule(grace time.Duration) stopSchedule {
+	share := func(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+	notice := min(shutdownNotice, share(grace, shutdownNoticeShare))
+	margin := min(shutdownMargin, share(grace, shutdownMarginShare))
+	begin := grace - margin
+	return stopSchedule{
+		peerNotice: share(notice, peerNoticeShare),
+		notice:     notice,
+		answer:     begin + share(margin, answerShare),
+		closeConns: begin + share(margin, closeShare),
+		exit:       begin + share(margin, exitShare),
+	}
+}
+
 // stopDeadline is the time at which a stopping node answers the requests that are still in progress. The zero value and
 // nil are those of a node that is not stopping.
 type stopDeadline struct {
