Refuse uploads that a stopping node can't pass on in time

Cause: the time of the stop was compared only once the body was complete, and nothing ended its read before the connection closed.

Change: reads of a body fail once the request can't be expected to end before the stop, or when requests in progress end; the caller gets 503. A body from another node is given up as not run in the same way.

--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -73,7 +73,10 @@
 	}
 	c.share = in.Bodies.Open()
 	defer c.share.Release()
-	c.body = func() ([]byte, error) { return readBody(w, r, c.share) }
+	c.body = func() ([]byte, error) {
+		defer in.stop.limitBody(w, r, func() bool { return true })()
+		return readBody(w, r, c.share)
+	}
 	in.View.observePosition(c.position)
 	arrived := in.Clock.Now()
 	res := in.admit(r.Context(), c)
--- a/meshd/outbound.go
+++ b/meshd/outbound.go
@@ -39,6 +39,9 @@
 	startupWaitShare = 0.5
 	// retryAfterShare bounds Retry-After, as a share of the time left until the caller's deadline.
 	retryAfterShare = 1.0 / 3
+
+	// reasonStopping is the reason of a refusal by a node that is stopping.
+	reasonStopping = "node stops before the request can end"
 )
 
 type (
@@ -149,7 +152,13 @@
 	share := o.Bodies.Open()
 	defer share.Release()
 	r.Body = http.MaxBytesReader(w, r.Body, limit)
+	fit := func() (time.Time, bool) {
+		deadline := arrived.Add(requestTimeout(entry, caller.Deadline))
+		return o.stop.fit(o.Clock.Now(), deadline, o.stats.expectedLatency(entry.Name), entry.Repeatable)
+	}
+	unlimit := o.stop.limitBody(w, r, func() bool { _, fits := fit(); return fits })
 	body, err := readBody(w, r, share)
+	unlimit()
 	if err != nil {
 		o.refuseUnreadable(w, caller.ID, err)
 		return
@@ -157,17 +166,9 @@
 	c := o.newCall(r, table, entry, owner, caller, share)
 	c.arrived, c.body = arrived, body
 	c.setDeadlines(caller.Deadline)
-	deadline, fits := o.stop.fit(
-		o.Clock.Now(), c.deadline, o.stats.expectedLatency(entry.Name), entry.Repeatable,
-	)
+	deadline, fits := fit()
 	if !fits {
-		o.reject(
-			w,
-			caller.ID,
-			http.StatusServiceUnavailable,
-			"node stops before the request can end",
-			notReadyRetryAfter,
-		)
+		o.reject(w, caller.ID, http.StatusServiceUnavailable, reasonStopping, notReadyRetryAfter)
 		return
 	}
 	c.deadline = deadline
@@ -201,14 +202,22 @@
 	return wait
 }
 
-func (c *call) setDeadlines(deadline time.Duration) {
-	timeout := c.route.Timeout
+// requestTimeout returns the time that a request on a route may take, with the caller's deadline or 0 if it has none.
+func requestTimeout(e *route.Entry, deadline time.Duration) time.Duration {
+	timeout := e.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	c.callerDeadline = c.arrived.Add(timeout)
 	if deadline > 0 {
 		timeout = min(timeout, deadline)
+	}
+	return timeout
+}
+
+func (c *call) setDeadlines(deadline time.Duration) {
+	timeout := requestTimeout(c.route, deadline)
+	c.callerDeadline = c.arrived.Add(timeout)
+	if deadline > 0 {
 		c.callerDeadline = c.arrived.Add(deadline)
 	}
 	c.deadline = c.arrived.Add(timeout)
@@ -384,6 +393,11 @@
 		o.reject(w, id, http.StatusRequestEntityTooLarge, "body exceeds the limit", 0)
 		return
 	}
+	if errors.Is(err, errNodeStopping) {
+		w.Header()["Connection"] = []string{"close"}
+		o.reject(w, id, http.StatusServiceUnavailable, reasonStopping, notReadyRetryAfter)
+		return
+	}
 	if errors.Is(err, quota.ErrExhausted) {
 		w.Header()["Connection"] = []string{"close"}
 		o.reject(w, id, http.StatusServiceUnavailable, err.Error(), notReadyRetryAfter)
--- a/meshd/stop.go
+++ b/meshd/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -117,3 +119,37 @@
 		cancel(nil)
 	}
 }
+
+// limitBody makes reads of a request's body fail with errNodeStopping once the node is stopping and the request cannot be
+// expected to end in time: its caller is refused while there is still time for another node. The caller of limitBody must
+// call stop when the body was read.
+func (s *stopDeadline) limitBody(w http.ResponseWriter, r *http.Request, fits func() bool) (stop func()) {
+	if s == nil || r.Body == nil || r.Body == http.NoBody {
+		return func() {}
+	}
+	r.Body = &stoppableBody{ReadCloser: r.Body, fits: func() bool { return s.context().Err() == nil && fits() }}
+	interrupted := context.AfterFunc(s.context(), func() {
+		// A writer without support for deadlines lets the read go on until the connection closes.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	})
+	return func() { interrupted() }
+}
+
+// stoppableBody is the body of a request at a node that may stop.
+type stoppableBody struct {
+	io.ReadCloser
+
+	fits func() bool // whether there is still time for the request
+}
+
+// Read implements io.Reader.
+func (b *stoppableBody) Read(p []byte) (int, error) {
+	if !b.fits() {
+		return 0, errNodeStopping
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && !b.fits() {
+		err = errNodeStopping
+	}
+	return n, err
+}
