Soak: answer with unproven refusals, deliver heartbeats late

Change: failures have one of four statuses, three of which promise "not run", and half of them have no signature; one heartbeat in twenty arrives up to 4 s late; half of the leaving servers deregister first. The check of true refusals covers signed answers as well, so it is stricter.

--- a/soak/backend.go
+++ b/soak/backend.go
@@ -41,6 +41,9 @@
 	listenRetryDelay  = 10 * time.Millisecond
 	heartbeatInterval = 500 * time.Millisecond
 	heartbeatTimeout  = time.Second
+	// lateHeartbeatShare is the share of heartbeats that arrive up to heartbeatMaxDelay late.
+	lateHeartbeatShare = 0.05
+	heartbeatMaxDelay  = 4 * time.Second
 )
 
 type (
@@ -70,7 +73,16 @@
 	}
 )
 
-var lastServerNumber atomic.Int64
+var (
+	lastServerNumber atomic.Int64
+	// failureStatuses are the statuses of failed requests. To callers, most of them promise that the request has not run.
+	failureStatuses = []int{
+		http.StatusInternalServerError,
+		http.StatusRequestTimeout,
+		http.StatusTooManyRequests,
+		http.StatusServiceUnavailable,
+	}
+)
 
 func (f serverFault) String() string {
 	return [...]string{"well", "fails", "hangs", "cuts", "loses", "twice", "sheds"}[f]
@@ -120,17 +132,46 @@
 	_ = b.httpServer.Close()
 }
 
-// leave announces the drain, serves for longer than drainBound, deregisters and stops the server.
+// leave announces the drain, serves for longer than drainBound, deregisters and stops the server. Half of the servers
+// deregister at once, without announcing the drain.
 func (b *backend) leave() {
+	announced := rand.IntN(2) == 0
 	b.mu.Lock()
 	b.leaving = true
+	if !announced {
+		b.stopHeartbeats()
+	}
 	b.mu.Unlock()
-	b.sendHeartbeat(context.Background())
+	if announced {
+		b.sendHeartbeat(context.Background())
+	} else {
+		b.deregister()
+	}
 	time.Sleep(drainBound + time.Second)
-	b.post(context.Background(), "instances.deregister", map[string]any{"born": b.born})
+	if announced {
+		b.deregister()
+	}
 	b.crash()
 }
 
+func (b *backend) deregister() {
+	b.mu.Lock()
+	id, body := b.server.ID(), map[string]any{"born": b.born}
+	b.mu.Unlock()
+	if b.post(context.Background(), "instances.deregister", id, body) {
+		b.recordLeaveAcked()
+	}
+}
+
+// recordLeaveAcked records that the node has acknowledged that the server leaves.
+func (b *backend) recordLeaveAcked() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.leaveAckedAt.IsZero() {
+		b.leaveAckedAt = time.Now()
+	}
+}
+
 func (b *backend) setFault(f serverFault) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -164,27 +205,29 @@
 		"slots": serverSlots, "state": state, "cold-remaining-ms": cold.Milliseconds(), "sequence": b.sequence,
 		"born": b.born,
 	}
+	id := b.server.ID()
 	b.mu.Unlock()
-	if b.post(ctx, "instances.heartbeat", body) && leaving {
-		b.mu.Lock()
-		if b.leaveAckedAt.IsZero() {
-			b.leaveAckedAt = time.Now()
-		}
-		b.mu.Unlock()
+	if !leaving && rand.Float64() < lateHeartbeatShare {
+		time.AfterFunc(
+			rand.N(heartbeatMaxDelay),
+			func() { b.post(context.Background(), "instances.heartbeat", id, body) },
+		)
+		return
+	}
+	if b.post(ctx, "instances.heartbeat", id, body) && leaving {
+		b.recordLeaveAcked()
 	}
 }
 
 // post sends a registration call to the server's node and reports whether the node acknowledged it.
-func (b *backend) post(ctx context.Context, call string, body map[string]any) bool {
+func (b *backend) post(ctx context.Context, call, id string, body map[string]any) bool {
 	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	b.mu.Lock()
-	query := url.Values{"call": {call}, "of": {b.server.ID()}}
-	b.mu.Unlock()
+	query := url.Values{"call": {call}, "of": {id}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost,
 		"http://"+b.addr(portServers)+"/tanagershunt/rpc?"+query.Encode(), bytes.NewReader(data))
 	if err != nil {
@@ -237,12 +280,14 @@
 	text, status := fmt.Sprintf("%s ran %s\n%s", s.ID(), id, bytes.Repeat([]byte("x"), rand.IntN(3000))), http.StatusOK
 	if fault == serverFails || b.badVersion && rand.Float64() < badFailureShare {
 		b.checker.recordFailure(b.currentVersion())
-		status = http.StatusInternalServerError
+		status = failureStatuses[rand.IntN(len(failureStatuses))]
 	}
 	if fault == serverResets {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Response-Signature", "signed by "+s.ID())
+	if status < http.StatusBadRequest || rand.IntN(2) == 0 {
+		w.Header().Set("Response-Signature", "signed by "+s.ID())
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if fault == serverTruncates && rand.IntN(2) == 0 {
 		answerEndlessly(w, id)
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -233,7 +233,7 @@
 		)
 	case !r.signed && r.status < http.StatusBadRequest:
 		c.addFinding("authentic answer", id, "status below 400 without a server's signature")
-	case !r.signed && slices.Contains(refusalStatuses, r.status) && !req.repeatable:
+	case slices.Contains(refusalStatuses, r.status) && !req.repeatable:
 		req.refused = true
 		if req.runs > 0 {
 			c.addFinding(
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -83,6 +83,12 @@
 			h.arriveAtServer("a", nil)
 			h.checkReply("a", reply{status: http.StatusServiceUnavailable})
 		}},
+		{"refusal means not run", func(h *history) {
+			h.sendRequest("a", false)
+			h.arriveAtServer("a", nil)
+			h.recordAnswer("a", http.StatusServiceUnavailable, "failed")
+			h.checkReply("a", reply{status: http.StatusServiceUnavailable, signed: true, body: "failed"})
+		}},
 		{"refusal means not run", func(h *history) {
 			h.sendRequest("a", false)
 			h.checkReply("a", reply{status: http.StatusTooManyRequests})
