Limit the time of each part of a response, not of the whole

Cause: the limit on writes, meant for peers that make no progress, was set once for each call of Write, and a node writes a whole body in one call.

Change: it is set for each 64 KiB.

--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -17,10 +17,13 @@
 	Header      time.Duration // reading the header of a request, default 5s
 	Idle        time.Duration // idle connection, default 120s; must exceed link.Limits.Idle
 	Read        time.Duration // one read of a request body, default 10s
-	Write       time.Duration // one write of a response, default 10s
+	Write       time.Duration // maxWriteBytes of a response, default 10s
 	HeaderBytes int           // header of a request, default 32 KiB
 }
 
+// maxWriteBytes is how much of a response is written with one time limit: the peer makes progress if it reads that much.
+const maxWriteBytes = 64 << 10
+
 // NewHTTPServer returns an HTTP/1.1 server with all limits set. Headers above HeaderBytes (and the 4 KiB that net/http
 // adds to it) get status 431, malformed requests 400. If a request has both Content-Length and chunked encoding,
 // net/http uses the chunks; the proxies write new framing, which prevents request smuggling.
@@ -117,10 +120,18 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-// Write implements io.Writer.
+// Write implements io.Writer. The time limit applies to each part of up to maxWriteBytes, so that a peer may read a long
+// response slowly.
 func (w *deadlineWriter) Write(p []byte) (int, error) {
-	w.extendDeadline()
-	return w.ResponseWriter.Write(p)
+	written := 0
+	for {
+		part := p[written:min(written+maxWriteBytes, len(p))]
+		w.extendDeadline()
+		n, err := w.ResponseWriter.Write(part)
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
 
 // FlushError implements the interface that http.ResponseController looks for.
