--- a/meshd/inbound.go
+++ b/meshd/inbound.go
@@ -74,6 +74,7 @@
 	c.share = in.Bodies.Open()
 	defer c.share.Release()
 	c.body = func() ([]byte, error) {
+		// The time that is left before a stop was checked when the request was admitted.
 		defer in.stop.limitBody(w, r, func() bool { return true })()
 		return readBody(w, r, c.share)
 	}
