--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -12,18 +12,18 @@
 	"github.com/apex/log"
 )
 
+// maxWriteBytes is how much of a response is written with one time limit: the peer makes progress if it reads that much.
+const maxWriteBytes = 64 << 10
+
 // Limits bounds the memory and time that a peer can take up on a server. Zero fields mean the defaults.
 type Limits struct {
 	Header      time.Duration // reading the header of a request, default 5s
 	Idle        time.Duration // idle connection, default 120s; must exceed link.Limits.Idle
 	Read        time.Duration // one read of a request body, default 10s
-	Write       time.Duration // maxWriteBytes of a response, default 10s
+	Write       time.Duration // one write of up to maxWriteBytes of a response, default 10s
 	HeaderBytes int           // header of a request, default 32 KiB
 }
 
-// maxWriteBytes is how much of a response is written with one time limit: the peer makes progress if it reads that much.
-const maxWriteBytes = 64 << 10
-
 // NewHTTPServer returns an HTTP/1.1 server with all limits set. Headers above HeaderBytes (and the 4 KiB that net/http
 // adds to it) get status 431, malformed requests 400. If a request has both Content-Length and chunked encoding,
 // net/http uses the chunks; the proxies write new framing, which prevents request smuggling.
